--- /dev/null
+++ b/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
@@ -0,0 +1,23 @@
+/** Entry point of the experiments that `scripts/bench` runs. */
+package org.jujubelead.bench
+
+import kotlin.system.exitProcess
+
+private const val EXIT_USAGE = 2
+
+private val experiments: List<Experiment> = listOf()
+
+public fun main(args: Array<String>) {
+    val seedIndex = args.indexOf("--seed")
+    val seed = if (seedIndex >= 0) args.getOrNull(seedIndex + 1)?.toLongOrNull() else 1L
+    val names = args.filterIndexed { i, arg -> !arg.startsWith("--") && (seedIndex < 0 || i != seedIndex + 1) }
+    val unknown = names.filter { name -> experiments.none { it.name == name } }
+    if (seed == null || unknown.isNotEmpty()) {
+        System.err.println("usage: bench [${experiments.joinToString("|") { it.name }}] [--quick] [--seed N]")
+        exitProcess(EXIT_USAGE)
+    }
+    val options = ExperimentOptions(quick = "--quick" in args, seed = seed)
+    val chosen = experiments.filter { names.isEmpty() || it.name in names }
+    val met = chosen.map { it.run(options) }
+    exitProcess(if (met.all { it }) 0 else 1)
+}
