--- /dev/null
+++ b/core/src/main/kotlin/org/jujubelead/core/admission/AdmissionPolicy.kt
@@ -0,0 +1,71 @@
+/** Whether a request is sent, waits, or is refused at once. */
+package org.jujubelead.core.admission
+
+import org.jujubelead.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * @property serviceTime time from sending to the first token on a target that is not overloaded; kept free before the
+ * deadline.
+ * @property reserve part of the capacity that only workspaces below their share may use, so that they need not wait
+ * for the requests of those above it.
+ * @property mostWaiting requests of one workspace that may wait.
+ */
+public data class AdmissionPolicy(
+    val serviceTime: Duration = 300.milliseconds,
+    val reserve: Double = 0.1,
+    val mostWaiting: Int = 1000,
+) {
+    public fun decide(request: AdmissionRequest, state: AdmissionState, now: Timestamp): AdmissionDecision {
+        val limits = state.limitsOf(request.workspace)
+        val own = state.inProgress(request.workspace)
+        val waiting = state.waiting(request.workspace)
+        val latestStart = request.deadline - serviceTime
+        return when {
+            latestStart < now -> AdmissionDecision.Refuse(
+                AdmissionRefusal.DEADLINE,
+                now + drainTime(request, state, now),
+            )
+
+            own >= limits.mostInProgress ->
+                AdmissionDecision.Refuse(AdmissionRefusal.WORKSPACE_LIMIT, now + drainTime(request, state, now))
+
+            waiting == 0 && state.inProgress < room(request, state) -> AdmissionDecision.Admit
+
+            waiting >= mostWaiting ->
+                AdmissionDecision.Refuse(AdmissionRefusal.QUEUE_FULL, now + drainTime(request, state, now))
+
+            now + drainTime(request, state, now) > latestStart ->
+                AdmissionDecision.Refuse(AdmissionRefusal.DEADLINE, now + drainTime(request, state, now))
+
+            else -> AdmissionDecision.Queue(latestStart)
+        }
+    }
+
+    /** Requests that may be in progress before this one is sent. */
+    private fun room(request: AdmissionRequest, state: AdmissionState): Int {
+        val limits = state.limitsOf(request.workspace)
+        val usage = state.usage(request.workspace)
+        val activeWeight = state.activeWeight + if (usage == null) limits.weight else 0.0
+        val share = state.capacity * limits.weight / activeWeight
+        val within = (usage?.inProgress ?: 0) < share
+        return if (within) state.capacity else (state.capacity * (1 - reserve)).toInt().coerceAtLeast(1)
+    }
+
+    /** Expected time until the workspace's queue, with this request, has been sent at the workspace's share. */
+    private fun drainTime(request: AdmissionRequest, state: AdmissionState, now: Timestamp): Duration {
+        val rate = state.serviceRate(now) ?: return Duration.ZERO
+        val limits = state.limitsOf(request.workspace)
+        val usage = state.usage(request.workspace)
+        val activeWeight = state.activeWeight + if (usage == null) limits.weight else 0.0
+        val share = rate * limits.weight / activeWeight
+        val ahead = (usage?.waiting ?: 0) + 1
+        return if (share <= 0.0) LONGEST_WAIT else (ahead / share).seconds.coerceAtMost(LONGEST_WAIT)
+    }
+
+    private companion object {
+        val LONGEST_WAIT = 60.seconds
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/jujubelead/core/retry/RetryBudget.kt
@@ -0,0 +1,62 @@
+/**
+ * How many retries an entry may make, per workspace and in total.
+ *
+ * Every request adds a part of a token to both buckets, and a retry takes one token from both. Buckets start empty and
+ * are bounded, so retries never exceed the ratio over the life of the process, nor the ratio plus the bound over any
+ * time. Mutable; owned by the control thread.
+ */
+package org.jujubelead.core.retry
+
+import org.jujubelead.core.ids.WorkspaceId
+
+/**
+ * @param totalRatio retries per request in total.
+ * @param workspaceRatio retries per request of one workspace. Higher than [totalRatio], so that a workspace whose
+ * target fails can use what others leave.
+ * @param totalBound tokens kept in total.
+ * @param workspaceBound tokens kept per workspace.
+ */
+public class RetryBudget(
+    private val totalRatio: Double = 0.1,
+    private val workspaceRatio: Double = 0.2,
+    private val totalBound: Double = 50.0,
+    private val workspaceBound: Double = 10.0,
+) {
+    private var total = 0.0
+    private val workspaces = object : LinkedHashMap<WorkspaceId, Double>(INITIAL_SIZE, LOAD_FACTOR, true) {
+        override fun removeEldestEntry(eldest: Map.Entry<WorkspaceId, Double>): Boolean = size > MOST_WORKSPACES
+    }
+
+    /** Requests that were counted. */
+    public var requests: Long = 0
+        private set
+
+    /** Retries that were allowed. */
+    public var retries: Long = 0
+        private set
+
+    /** Counts a request of a caller. Retries are not counted. */
+    public fun requestStarted(workspace: WorkspaceId) {
+        requests++
+        total = (total + totalRatio).coerceAtMost(totalBound)
+        workspaces[workspace] = ((workspaces[workspace] ?: 0.0) + workspaceRatio).coerceAtMost(workspaceBound)
+    }
+
+    /** Takes a token for one retry; false when there is none. */
+    public fun tryTake(workspace: WorkspaceId): Boolean {
+        val own = workspaces[workspace] ?: 0.0
+        if (total < ONE || own < ONE) return false
+        total -= 1
+        workspaces[workspace] = own - 1
+        retries++
+        return true
+    }
+
+    private companion object {
+        /** One token, less the rounding error of adding up tenths. */
+        const val ONE = 1 - 1e-9
+        const val INITIAL_SIZE = 64
+        const val LOAD_FACTOR = 0.75f
+        const val MOST_WORKSPACES = 4096
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/jujubelead/core/routing/PrefixHashes.kt
@@ -0,0 +1,35 @@
+/** Hashes of growing prefixes of a prompt. Prompts that share a prefix share its hashes. */
+package org.jujubelead.core.routing
+
+public object PrefixHashes {
+    /** Characters of a prompt per block, about 64 tokens of English text. */
+    public const val BLOCK_CHARACTERS: Int = 256
+
+    /** Longest prefix that is looked at; bounds the cost of a decision. */
+    public const val MOST_BLOCKS: Int = 64
+
+    private const val FNV_OFFSET = -3750763034362895579L
+    private const val FNV_PRIME = 1099511628211L
+
+    /** One hash for every whole block of [prompt], shortest prefix first. */
+    public fun of(prompt: CharSequence): LongArray {
+        val blocks = (prompt.length / BLOCK_CHARACTERS).coerceAtMost(MOST_BLOCKS)
+        val hashes = LongArray(blocks)
+        var hash = FNV_OFFSET
+        for (block in 0 until blocks) {
+            for (i in block * BLOCK_CHARACTERS until (block + 1) * BLOCK_CHARACTERS) {
+                hash = (hash xor prompt[i].code.toLong()) * FNV_PRIME
+            }
+            hashes[block] = mix(hash)
+        }
+        return hashes
+    }
+
+    /** Spreads the bits of [value] evenly. */
+    public fun mix(value: Long): Long {
+        var z = value
+        z = (z xor (z ushr 30)) * -4658895280553007687L
+        z = (z xor (z ushr 27)) * -7723592293110705685L
+        return z xor (z ushr 31)
+    }
+}
