--- /dev/null
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/RequestTraces.kt
@@ -0,0 +1,36 @@
+/** What happened to recent requests, for `jujubelead explain`. */
+package org.jujubelead.runtime.entry
+
+import org.jujubelead.core.ids.RequestId
+import org.jujubelead.core.time.Timestamp
+
+/** Requests kept; about 5 MB at ten steps a request. */
+private const val MAX_TRACES = 8_192
+
+/** Steps kept of one request. */
+private const val MAX_STEPS = 64
+
+private const val INITIAL_CAPACITY = 1_024
+private const val LOAD_FACTOR = 0.75f
+
+/** Thread-safe; the oldest request is forgotten first. */
+public class RequestTraces(private val now: () -> Timestamp) {
+    private class Step(val at: Timestamp, val text: String)
+
+    private val traces = object : LinkedHashMap<RequestId, ArrayList<Step>>(INITIAL_CAPACITY, LOAD_FACTOR, false) {
+        override fun removeEldestEntry(eldest: Map.Entry<RequestId, ArrayList<Step>>): Boolean = size > MAX_TRACES
+    }
+
+    /** Adds a step to a request. */
+    public fun add(request: RequestId, text: String): Unit = synchronized(traces) {
+        val steps = traces.getOrPut(request) { ArrayList() }
+        if (steps.size < MAX_STEPS) steps += Step(at = now(), text = text)
+    }
+
+    /** The steps of a request, one a line, with the time since the first; null when it is not known here. */
+    public fun explain(request: RequestId): String? = synchronized(traces) {
+        val steps = traces[request] ?: return null
+        val start = steps.first().at
+        steps.joinToString("\n") { "+%6d ms  %s".format((it.at - start).inWholeMilliseconds, it.text) }
+    }
+}
