Add HTTP adapters of the outside systems and stand-in processes

The entry and agent processes need the key-value service, the instance list, model engines and plain services over HTTP. Each outside wire format is in one adapter file.

The stand-ins run the same state machines as the in-memory fakes.

--- /dev/null
+++ b/standins/src/main/kotlin/org/jujubelead/standins/DirectoryService.kt
@@ -0,0 +1,94 @@
+/**
+ * The platform's instance list, which shows the state of some time ago.
+ *
+ * Changes are kept with their time; a snapshot replays those old enough. A freeze stops the list from changing.
+ */
+package org.jujubelead.standins
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.jujubelead.core.ids.InstanceId
+import org.jujubelead.core.membership.InstanceRecord
+import org.jujubelead.core.membership.InstanceState
+import org.jujubelead.platform.DirectoryError
+import org.jujubelead.platform.InstanceDirectory
+import java.util.TreeMap
+import kotlin.time.Duration
+
+/** The list. All methods take the current time in milliseconds. */
+public class DirectoryService(lag: Duration = Duration.ZERO) {
+    private class Change(val atMillis: Long, val id: String, val record: InstanceRecord?)
+
+    private val actual = TreeMap<String, InstanceRecord>()
+    private val visible = TreeMap<String, InstanceRecord>()
+    private val pending = ArrayDeque<Change>()
+    private val markedLeaving = HashSet<String>()
+
+    /** Age of the list. */
+    @get:Synchronized
+    @set:Synchronized
+    public var lag: Duration = lag
+
+    /** True while the list does not change. */
+    @get:Synchronized
+    @set:Synchronized
+    public var frozen: Boolean = false
+
+    /** Lists an instance or changes its record. The platform's own mark of a leaving instance stays. */
+    @Synchronized
+    public fun announce(record: InstanceRecord, nowMillis: Long) {
+        val state = if (record.id.value in markedLeaving) InstanceState.LEAVING else record.state
+        change(record.id, record.copy(state = state), nowMillis)
+    }
+
+    /** Marks an instance as leaving; false when it is not listed. */
+    @Synchronized
+    public fun markLeaving(id: InstanceId, nowMillis: Long): Boolean {
+        val record = actual[id.value] ?: return false
+        markedLeaving += id.value
+        change(id, record.copy(state = InstanceState.LEAVING), nowMillis)
+        return true
+    }
+
+    /** Takes an instance off the list. */
+    @Synchronized
+    public fun remove(id: InstanceId, nowMillis: Long) {
+        markedLeaving -= id.value
+        change(id, null, nowMillis)
+    }
+
+    /** The list as readers see it. */
+    @Synchronized
+    public fun snapshot(nowMillis: Long): List<InstanceRecord> {
+        val until = nowMillis - lag.inWholeMilliseconds
+        while (!frozen && pending.isNotEmpty() && pending.first().atMillis <= until) {
+            val change = pending.removeFirst()
+            if (change.record == null) visible.remove(change.id) else visible[change.id] = change.record
+        }
+        return visible.values.toList()
+    }
+
+    private fun change(id: InstanceId, record: InstanceRecord?, nowMillis: Long) {
+        if (record == null) actual.remove(id.value) else actual[id.value] = record
+        pending += Change(atMillis = nowMillis, id = id.value, record = record)
+    }
+}
+
+/** A client of the list in the same process. */
+public class InMemoryInstanceDirectory(
+    private val service: DirectoryService,
+    private val nowMillis: () -> Long,
+) : InstanceDirectory {
+    /** False while the list cannot be reached. */
+    @Volatile
+    public var reachable: Boolean = true
+
+    override suspend fun snapshot(): Result<List<InstanceRecord>, DirectoryError> =
+        if (reachable) Ok(service.snapshot(nowMillis())) else unreachable()
+
+    override suspend fun announce(record: InstanceRecord): Result<Unit, DirectoryError> =
+        if (reachable) Ok(service.announce(record, nowMillis())) else unreachable()
+
+    private fun unreachable() = Err(DirectoryError.Unavailable("the instance list cannot be reached"))
+}
--- a/standins/src/main/kotlin/org/jujubelead/standins/KeyValueService.kt
+++ b/standins/src/main/kotlin/org/jujubelead/standins/KeyValueService.kt
@@ -6,6 +6,7 @@
  */
 package org.jujubelead.standins
 
+import kotlinx.serialization.Serializable
 import org.jujubelead.core.ids.Fence
 import org.jujubelead.core.ids.OperationId
 import org.jujubelead.platform.KeyValueStore
@@ -18,6 +19,7 @@
 public data class KeyValueLimits(val writesPerSecond: Int = 400, val readsPerSecond: Int = 2_000)
 
 /** Calls counted since the start, and the largest number in any one second. */
+@Serializable
 public data class KeyValueCounts(
     val reads: Long = 0,
     val writes: Long = 0,
--- /dev/null
+++ b/standins/src/main/kotlin/org/jujubelead/standins/Main.kt
@@ -0,0 +1,94 @@
+/** Entry point of the stand-in processes: `jujubelead-standins kv|directory|platform|engine|service --port P ...`. */
+package org.jujubelead.standins
+
+import org.kohsuke.args4j.CmdLineException
+import org.kohsuke.args4j.CmdLineParser
+import org.kohsuke.args4j.Option
+import kotlin.system.exitProcess
+import kotlin.time.Duration.Companion.milliseconds
+
+private const val EXIT_USAGE = 2
+
+/** Options of all subcommands. Each subcommand reads its own. */
+public class StandInOptions {
+    @field:Option(name = "--port", usage = "TCP port on 127.0.0.1; 0 takes a free one")
+    public var port: Int = 0
+
+    @field:Option(name = "--seed", usage = "seed of the injected faults")
+    public var seed: Long = 1
+
+    @field:Option(name = "--writes-per-second", usage = "kv: writes taken a second")
+    public var writesPerSecond: Int = KeyValueLimits().writesPerSecond
+
+    @field:Option(name = "--reads-per-second", usage = "kv: reads taken a second")
+    public var readsPerSecond: Int = KeyValueLimits().readsPerSecond
+
+    @field:Option(name = "--lag-ms", usage = "directory: age of the list")
+    public var lagMs: Long = 0
+
+    @field:Option(name = "--model", usage = "engine: model name")
+    public var model: String = "chat"
+
+    @field:Option(name = "--capacity", usage = "engine: requests that run at once")
+    public var capacity: Int = EngineProfile().capacity
+
+    @field:Option(name = "--first-token-ms", usage = "engine: time to the first token without a cached prefix")
+    public var firstTokenMs: Long = EngineProfile().firstToken.inWholeMilliseconds
+
+    @field:Option(name = "--token-gap-ms", usage = "engine: time between tokens")
+    public var tokenGapMs: Long = EngineProfile().tokenGap.inWholeMilliseconds
+
+    @field:Option(name = "--ignores-fences", usage = "engine: takes orders with an old fencing number")
+    public var ignoresFences: Boolean = false
+
+    @field:Option(name = "--name", usage = "service: name")
+    public var name: String = "service"
+}
+
+private fun modules(command: String, options: StandInOptions): List<HttpModule>? {
+    val keyValue = {
+        val limits = KeyValueLimits(
+            writesPerSecond = options.writesPerSecond,
+            readsPerSecond = options.readsPerSecond,
+        )
+        KeyValueHttp(service = KeyValueService(limits), seed = options.seed)
+    }
+    val directory = { DirectoryHttp(DirectoryService(lag = options.lagMs.milliseconds)) }
+    return when (command) {
+        "kv" -> listOf(keyValue())
+        "directory" -> listOf(directory())
+        "platform" -> listOf(keyValue(), directory())
+        "engine" -> listOf(EngineHttp(EngineService(engineProfile(options))))
+        "service" -> listOf(ServiceHttp(name = options.name))
+        else -> null
+    }
+}
+
+private fun engineProfile(options: StandInOptions) = EngineProfile(
+    model = options.model,
+    capacity = options.capacity,
+    firstToken = options.firstTokenMs.milliseconds,
+    tokenGap = options.tokenGapMs.milliseconds,
+    ignoresFences = options.ignoresFences,
+)
+
+public fun main(args: Array<String>) {
+    val options = StandInOptions()
+    val parser = CmdLineParser(options)
+    val modules = try {
+        parser.parseArgument(args.drop(1))
+        modules(command = args.firstOrNull().orEmpty(), options = options)
+    } catch (e: CmdLineException) {
+        System.err.println("jujubelead-standins: ${e.message}")
+        null
+    }
+    if (modules == null) {
+        System.err.println("usage: jujubelead-standins kv|directory|platform|engine|service [OPTIONS]")
+        parser.printUsage(System.err)
+        exitProcess(EXIT_USAGE)
+    }
+    val server = StandInServer(port = options.port, modules = modules)
+    Runtime.getRuntime().addShutdownHook(Thread { server.close() })
+    println("ready ${server.port}")
+    server.waitUntilClosed()
+}
