--- a/cli/src/main/kotlin/org/jujubelead/cli/Main.kt
+++ b/cli/src/main/kotlin/org/jujubelead/cli/Main.kt
@@ -1,6 +1,8 @@
 /** Entry point of the binary: finds the subcommand, parses its options, and turns wrong use into exit code 2. */
 package org.jujubelead.cli
 
+import org.jujubelead.cli.roles.AgentCommand
+import org.jujubelead.cli.roles.EntryCommand
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
 import org.kohsuke.args4j.ParserProperties
@@ -59,7 +61,10 @@
     }
 }
 
-private val commands: List<CommandEntry> = listOf()
+private val commands: List<CommandEntry> = listOf(
+    CommandEntry(name = "entry", summary = "run an entry, which callers connect to", create = ::EntryCommand),
+    CommandEntry(name = "agent", summary = "run an agent beside a target", create = ::AgentCommand),
+)
 
 public fun main(args: Array<String>) {
     exitProcess(runCommand(args = args.toList(), commands = commands))
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Dispatch.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Dispatch.kt
@@ -41,14 +41,33 @@
     public val deadline: Timestamp,
     public val idempotent: Boolean,
     public val priority: Int,
+    public val evidence: RunEvidence = RunEvidence(),
 )
 
+/** What is proved about whether any attempt of a request ran. */
+public class RunEvidence {
+    @Volatile private var unproved = 0
+
+    /** True when no attempt was sent, or each one is proved not to have run. */
+    public val notRun: Boolean get() = unproved == 0
+
+    /** An attempt is about to be sent. */
+    public fun sent() {
+        unproved += 1
+    }
+
+    /** An attempt that was sent is proved not to have run, now or later. */
+    public fun provedNotRun() {
+        unproved -= 1
+    }
+}
+
 /** Result of all attempts of a request. */
 public sealed interface DispatchEnd {
     public data object Complete : DispatchEnd
 
-    /** [notRun] is true when no attempt ran and none ever will. */
-    public data class Failed(val code: ProblemCode, val notRun: Boolean, val detail: String) : DispatchEnd
+    /** The outcome follows from the evidence in the context, over all attempts. */
+    public data class Failed(val code: ProblemCode, val detail: String) : DispatchEnd
 }
 
 /** Runs requests on targets. */
@@ -87,7 +106,7 @@
                     decision.target
                 }
                 is RoutingDecision.NoTarget ->
-                    return DispatchEnd.Failed(ProblemCode.NO_TARGET, notRun = true, detail = decision.reason.name.lowercase())
+                    return DispatchEnd.Failed(ProblemCode.NO_TARGET, detail = decision.reason.name.lowercase())
             }
             count += 1
             tried += target.key
@@ -102,7 +121,7 @@
                 deadline = context.deadline,
             )
             val decision = state.retry(failed, context.idempotent, end.possiblyHandedOver)
-            if (decision is RetryDecision.GiveUp) return giveUp(end, decision)
+            if (decision is RetryDecision.GiveUp) return giveUp(context, end, decision)
             Event.STREAM_MOVED.log("request=${context.request} from=${target.key.instance} end=$end")
         }
     }
@@ -119,38 +138,53 @@
         try {
             val tick = tick(target) ?: return AttemptEnd.Unreachable("the agent does not answer")
             val request = execution(context, target, tick).apply(work).build()
-            val end = runAttempt(target, request) { frame ->
+            val end = runAttempt(context, target, request) { frame ->
                 if (!first) {
                     first = true
                     control.run { state.loads.firstToken(target.key, routing) }
                 }
                 deliver(frame)
             }
-            return if (end is AttemptEnd.Lost) settle(target, request, end) else end
+            return end
         } finally {
             withContext(NonCancellable) { control.run { state.loads.finished(target.key, routing, first) } }
         }
     }
 
-    /** Runs [request]; when the caller leaves, the target is told to stop. */
+    /**
+     * Runs [request] and keeps what its end proves. When the caller leaves or its deadline passes, the target is told to
+     * stop.
+     */
     public suspend fun runAttempt(
+        context: DispatchContext,
         target: Target,
         request: ExecuteRequest,
         deliver: suspend (Frame) -> Unit,
-    ): AttemptEnd = try {
-        attempts.run(target, request, deliver)
-    } catch (e: CancellationException) {
-        withContext(NonCancellable) { attempts.cancel(target, AttemptId(request.attemptId), request.tickMs) }
-        throw e
+    ): AttemptEnd {
+        context.evidence.sent()
+        val end = try {
+            val raw = attempts.run(target, request, deliver)
+            if (raw is AttemptEnd.Lost) settle(target, request, raw) else raw
+        } catch (e: CancellationException) {
+            withContext(NonCancellable) {
+                if (cancelled(target, request) == AttemptState.NOT_RUN) context.evidence.provedNotRun()
+            }
+            throw e
+        }
+        if (!end.possiblyHandedOver) context.evidence.provedNotRun()
+        return end
     }
 
     /** Asks the agent what became of a lost attempt. Only its confirmation proves that the attempt will not run. */
-    public suspend fun settle(target: Target, request: ExecuteRequest, lost: AttemptEnd.Lost): AttemptEnd =
-        when (attempts.cancel(target, AttemptId(request.attemptId), request.tickMs)) {
+    private suspend fun settle(target: Target, request: ExecuteRequest, lost: AttemptEnd.Lost): AttemptEnd =
+        when (cancelled(target, request)) {
             AttemptState.NOT_RUN -> AttemptEnd.Refused(RefusalReason.CANCELLED, notRun = true, detail = lost.detail)
             else -> lost
         }
 
+    private suspend fun cancelled(target: Target, request: ExecuteRequest): AttemptState? =
+        attempts.cancel(target, AttemptId(request.attemptId), request.tickMs)
+
     internal fun execution(context: DispatchContext, target: Target, tick: Long): ExecuteRequest.Builder =
         ExecuteRequest.newBuilder()
             .setRequestId(context.request.value)
@@ -203,17 +237,18 @@
         else -> null
     }
 
-    private fun giveUp(end: AttemptEnd, decision: RetryDecision.GiveUp): DispatchEnd.Failed {
-        val notRun = decision.notRun
+    private fun giveUp(context: DispatchContext, end: AttemptEnd, decision: RetryDecision.GiveUp): DispatchEnd.Failed {
+        val notRun = context.evidence.notRun
+        val reason = (end as? AttemptEnd.Refused)?.reason
         val code = when {
-            end is AttemptEnd.Refused && end.reason == RefusalReason.OVERLOADED -> ProblemCode.OVERLOADED
-            end is AttemptEnd.Refused && end.reason == RefusalReason.DRAINING -> ProblemCode.NO_TARGET
-            end is AttemptEnd.Refused && end.reason == RefusalReason.DEADLINE_PASSED && notRun -> ProblemCode.DEADLINE_NOT_RUN
+            notRun && reason == RefusalReason.OVERLOADED -> ProblemCode.OVERLOADED
+            notRun && reason == RefusalReason.DRAINING -> ProblemCode.NO_TARGET
+            notRun && reason == RefusalReason.DEADLINE_PASSED -> ProblemCode.DEADLINE_NOT_RUN
             notRun -> ProblemCode.TARGET_FAILED_NOT_RUN
-            end is AttemptEnd.Refused -> ProblemCode.TARGET_FAILED
+            reason != null -> ProblemCode.TARGET_FAILED
             else -> ProblemCode.OUTCOME_UNKNOWN
         }
-        return DispatchEnd.Failed(code = code, notRun = notRun, detail = "${decision.reason.name.lowercase()}: $end")
+        return DispatchEnd.Failed(code = code, detail = "${decision.reason.name.lowercase()}: $end")
     }
 }
 
--- /dev/null
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryLoops.kt
@@ -0,0 +1,107 @@
+/** Periodic work of an entry: reading the instance list, probing targets, and adjusting capacity. */
+package org.jujubelead.runtime.entry
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.jujubelead.core.membership.FailureKind
+import org.jujubelead.core.membership.InstanceRecord
+import org.jujubelead.core.membership.InstanceRole
+import org.jujubelead.core.membership.InstanceState
+import org.jujubelead.core.membership.MembershipEvent
+import org.jujubelead.core.membership.Target
+import org.jujubelead.core.routing.LoadReport
+import org.jujubelead.platform.InstanceDirectory
+import org.jujubelead.runtime.telemetry.Event
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val LIST_INTERVAL: Duration = 1.seconds
+private val PROBE_INTERVAL: Duration = 250.milliseconds
+
+/** Probes started at once; a zone that comes back is probed over several rounds. */
+private const val PROBES_PER_ROUND = 16
+
+/** Reads around the interval are spread, so that entries started together do not read together. */
+private const val JITTER = 0.3
+
+/** One per entry. */
+internal class EntryLoops(
+    private val state: EntryState,
+    private val dispatcher: Dispatcher,
+    private val channels: TargetChannels,
+    private val directory: InstanceDirectory,
+) {
+    private val control = state.control
+
+    /** Entries in the last list, with their addresses. */
+    @Volatile
+    var entries: List<InstanceRecord> = emptyList()
+        private set
+
+    fun start(scope: CoroutineScope) {
+        scope.launch { every(LIST_INTERVAL) { readList() } }
+        scope.launch { every(PROBE_INTERVAL) { probe(scope) } }
+    }
+
+    private suspend fun every(interval: Duration, action: suspend () -> Unit) {
+        while (true) {
+            action()
+            delay(interval * Random.nextDouble(1 - JITTER, 1 + JITTER))
+        }
+    }
+
+    private suspend fun readList() {
+        val requestedAt = control.now()
+        directory.snapshot().fold(
+            success = { records -> apply(records, requestedAt) },
+            failure = { Event.DIRECTORY_UNAVAILABLE.log("$it") },
+        )
+    }
+
+    private suspend fun apply(records: List<InstanceRecord>, requestedAt: org.jujubelead.core.time.Timestamp) {
+        control.run { now ->
+            state.update(MembershipEvent.ListRead(records = records, requestedAt = requestedAt), now)
+            val known = state.view.known
+            state.loads.retain(known)
+            state.ticks.retain(known.mapTo(HashSet()) { it.key })
+            channels.retain(known.mapTo(HashSet()) { it.key.instance })
+            entries = records.filter { it.role == InstanceRole.ENTRY && it.state == InstanceState.LIVE }
+            state.adjustCapacity(entries = entries.size.coerceAtLeast(1), now = now)
+        }
+    }
+
+    private suspend fun probe(scope: CoroutineScope) {
+        val due = control.run { now ->
+            state.view.probesDue(now) { it.zone == state.zone || state.loads.load(it.key) != null }
+                .take(PROBES_PER_ROUND)
+                .onEach { state.update(MembershipEvent.ProbeStarted(it.key), now) }
+        }
+        due.forEach { target -> scope.launch { probe(target) } }
+    }
+
+    private suspend fun probe(target: Target) {
+        val ejected = target.key in state.view.ejected(target.set)
+        val reply = dispatcher.hello(target, newConnection = ejected)
+        control.run { now ->
+            if (reply == null) {
+                state.update(MembershipEvent.ProbeFailed(target.key, FailureKind.REFUSED), now)
+            } else {
+                val load = reply.load
+                val report = LoadReport(running = load.running, waiting = load.waiting, capacity = load.capacity)
+                state.loads.reported(target.key, report, now)
+                state.update(
+                    MembershipEvent.ProbeSucceeded(
+                        target = target.key,
+                        draining = reply.draining,
+                        tickMillis = reply.tickMs,
+                    ),
+                    now,
+                )
+            }
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
@@ -0,0 +1,109 @@
+/** The entry role: assembles its parts, runs until it is told to stop, and drains. */
+package org.jujubelead.runtime.entry
+
+import arrow.fx.coroutines.resourceScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.jujubelead.core.membership.InstanceRole
+import org.jujubelead.core.membership.InstanceState
+import org.jujubelead.protocol.ProcessSettings
+import org.jujubelead.runtime.process.ProcessContext
+import org.jujubelead.runtime.process.StopSignal
+import org.jujubelead.runtime.process.announceUntilTaken
+import org.jujubelead.runtime.process.followSettings
+import org.jujubelead.runtime.process.processContext
+import org.jujubelead.runtime.process.startHttp
+import org.jujubelead.runtime.process.stopGracefully
+import org.jujubelead.runtime.telemetry.BurnRecorder
+import org.jujubelead.runtime.telemetry.Event
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Time for the platform's balancer to see that this entry is not ready, before it is counted as idle. */
+private val UNREADY_NOTICE: Duration = 1.seconds
+private val DRAIN_POLL: Duration = 50.milliseconds
+
+/** Exit code of a stop that cut requests. */
+private const val EXIT_CUT = 3
+
+/** Runs an entry; returns after a drain. */
+public suspend fun runEntry(settings: ProcessSettings): Unit = resourceScope {
+    val context = processContext(settings)
+    val state = EntryState(
+        instance = context.instance,
+        zone = context.zone,
+        control = context.control,
+        seed = context.incarnation.value.hashCode().toLong(),
+        scope = context.scope,
+    )
+    val channels = install({ TargetChannels(context.transport) }) { it, _ -> it.close() }
+    val traces = RequestTraces(context.control::now)
+    val dispatcher = Dispatcher(state = state, channels = channels, traces = traces)
+    val services = EntryServices(
+        state = state,
+        dispatcher = dispatcher,
+        traces = traces,
+        metrics = context.metrics,
+        burn = BurnRecorder(context.control::now),
+    )
+    val signal = StopSignal { stopNow(services) }
+    signal.install()
+    install({ context.transport.serve(context.listen, listOf(PeerService(services))) }) { it, _ ->
+        it.shutdownNow().awaitTermination(1, TimeUnit.SECONDS)
+    }
+    val http = install({
+        startHttp(context.http, context.metrics, readiness = { state.unreadyReason() }) {
+            ChatRoutes(services).install(this)
+            ServiceRoutes(services, KeyedCalls()).install(this)
+        }
+    }) { it, _ -> it.stopGracefully() }
+    EntryLoops(state = state, dispatcher = dispatcher, channels = channels, directory = context.directory)
+        .start(context.scope)
+    context.scope.launch {
+        context.followSettings { snapshot ->
+            state.settings = snapshot
+            context.metrics.settingsRevision.set(snapshot.revision.value.toDouble())
+        }
+    }
+    context.scope.launch {
+        context.directory.announceUntilTaken(context.record(InstanceRole.ENTRY, InstanceState.LIVE))
+    }
+    Event.PROCESS_STARTED.log("role=entry instance=${context.instance} listen=${context.listen} http=${context.http}")
+    signal.requested.await()
+    drain(context, services)
+    http.stopGracefully()
+    Event.PROCESS_STOPPED.log("instance=${context.instance}")
+}
+
+private fun EntryState.unreadyReason(): String? = when {
+    draining -> "draining"
+    settings == null -> "no settings"
+    else -> null
+}
+
+/** New requests are refused; open ones end whole, at most until the drain limit of the zone. */
+private suspend fun drain(context: ProcessContext, services: EntryServices) {
+    val state = services.state
+    state.draining = true
+    Event.DRAIN_STARTED.log("instance=${context.instance} open=${services.inProgress}")
+    context.scope.launch {
+        context.directory.announceUntilTaken(context.record(InstanceRole.ENTRY, InstanceState.LEAVING))
+    }
+    val limit = state.settings?.forZone(state.zone)?.drainLimitS?.seconds ?: Duration.ZERO
+    delay(UNREADY_NOTICE)
+    val idle = withTimeoutOrNull(limit) {
+        while (services.inProgress > 0) delay(DRAIN_POLL)
+        true
+    }
+    if (idle == null && services.inProgress > 0) stopNow(services)
+    Event.DRAIN_FINISHED.log("instance=${context.instance}")
+}
+
+private fun stopNow(services: EntryServices) {
+    val open = services.inProgress
+    Event.DRAIN_CUT.log("instance=${services.state.instance} cut=$open")
+    Runtime.getRuntime().halt(if (open > 0) EXIT_CUT else 0)
+}
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryState.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryState.kt
@@ -14,6 +14,7 @@
 import org.jujubelead.core.membership.MembershipView
 import org.jujubelead.core.membership.Target
 import org.jujubelead.core.membership.TargetKey
+import org.jujubelead.core.membership.TargetSetId
 import org.jujubelead.core.retry.FailedAttempt
 import org.jujubelead.core.retry.RetryBudget
 import org.jujubelead.core.retry.RetryDecision
@@ -27,14 +28,20 @@
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.protocol.Frame
 import org.jujubelead.runtime.process.ControlThread
+import org.jujubelead.settings.SettingsScope
 import org.jujubelead.settings.SettingsSnapshot
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.CoroutineScope
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.math.ceil
 import kotlin.random.Random
 
 /** Requests an entry has in progress before the capacity of the targets is known. */
 private const val INITIAL_CAPACITY = 64
 
+/** Requests sent to targets for each place in their batches, so that a free place is taken at once. */
+private const val QUEUED_PER_PLACE = 1.25
+
 /**
  * @property seed differs between entries, so that their choices differ.
  * @property scope scope of updates that traffic threads hand to the control thread.
@@ -63,10 +70,29 @@
 
     public val loads: LoadTable = LoadTable(zone = zone, seed = seed)
     public val ticks: TargetTicks = TargetTicks(control::now)
-    public val admission: AdmissionState = AdmissionState(capacity = INITIAL_CAPACITY, limits = ::limitsOf)
+    private val gates = ConcurrentHashMap<TargetSetId, AdmissionGate>()
+
+    /** Admission to the targets of [set]. Sets have gates of their own, so that a full model does not delay a service. */
+    public fun gate(set: TargetSetId): AdmissionGate = gates.computeIfAbsent(set) {
+        AdmissionGate(
+            control = control,
+            state = AdmissionState(capacity = INITIAL_CAPACITY, limits = ::limitsOf),
+        )
+    }
+
+    /** Adjusts the gates to the capacity of the targets, of which this entry may use one part in [entries]. */
+    public fun adjustCapacity(entries: Int, now: Timestamp) {
+        gates.forEach { (set, gate) ->
+            val reported = view.candidates(set, now).mapNotNull { loads.load(it.key)?.report?.capacity }
+            if (reported.isNotEmpty()) {
+                val total = reported.average() * view.candidates(set, now).size
+                gate.capacityChanged(ceil(total * QUEUED_PER_PLACE / entries).toInt().coerceAtLeast(1))
+            }
+        }
+    }
 
     private fun limitsOf(workspace: WorkspaceId): WorkspaceLimits {
-        val values = settings?.forScope(org.jujubelead.settings.SettingsScope(zone = zone, workspace = workspace))
+        val values = settings?.forScope(SettingsScope(zone = zone, workspace = workspace))
         return if (values == null) {
             WorkspaceLimits()
         } else {
--- /dev/null
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/PeerService.kt
@@ -0,0 +1,70 @@
+/** gRPC face of an entry towards other entries and operator tools. */
+package org.jujubelead.runtime.entry
+
+import com.google.protobuf.ByteString
+import org.jujubelead.core.ids.RequestId
+import org.jujubelead.protocol.BurnWindow
+import org.jujubelead.protocol.ExplainReply
+import org.jujubelead.protocol.ExplainRequest
+import org.jujubelead.protocol.PeerGrpcKt
+import org.jujubelead.protocol.StatusReply
+import org.jujubelead.protocol.StatusRequest
+import org.jujubelead.protocol.TargetStatus
+import java.nio.ByteBuffer
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
+
+/** Windows of the burn report: a short one shows what goes wrong now, a long one what it has cost. */
+private val BURN_WINDOWS: List<Duration> = listOf(5.minutes, 1.hours)
+
+/** Answers questions about this entry. */
+internal class PeerService(private val entry: EntryServices) : PeerGrpcKt.PeerCoroutineImplBase() {
+    private val state = entry.state
+
+    override suspend fun explain(request: ExplainRequest): ExplainReply {
+        val text = entry.traces.explain(RequestId(request.requestId))
+        return ExplainReply.newBuilder().setFound(text != null).setText(text.orEmpty()).build()
+    }
+
+    override suspend fun status(request: StatusRequest): StatusReply = state.control.run { now ->
+        val view = state.view
+        StatusReply.newBuilder()
+            .setInstance(state.instance.value)
+            .setZone(state.zone.value)
+            .setRole("entry")
+            .setSettingsRevision(state.settings?.revision?.value ?: 0)
+            .setDraining(state.draining)
+            .setInFlight(entry.inProgress)
+            .addAllTargets(
+                view.known.map { target ->
+                    val usable = view.candidates(target.set, now).any { it.key == target.key }
+                    val ejected = target.key in view.ejected(target.set)
+                    TargetStatus.newBuilder()
+                        .setInstance(target.key.instance.value)
+                        .setZone(target.zone.value)
+                        .setState(if (usable) "in use" else if (ejected) "ejected" else "leaving")
+                        .setInFlight(state.loads.load(target.key)?.inFlight ?: 0)
+                        .build()
+                },
+            )
+            .addAllBurn(burn())
+            .build()
+    }
+
+    private fun burn(): List<BurnWindow> = entry.burn.workspaces().flatMap { workspace ->
+        BURN_WINDOWS.map { window ->
+            val sum = entry.burn.sum(workspace, window)
+            val buffer = ByteBuffer.allocate(sum.latency.neededByteBufferCapacity)
+            val length = sum.latency.encodeIntoCompressedByteBuffer(buffer)
+            BurnWindow.newBuilder()
+                .setWorkspace(workspace.value)
+                .setWindowS(window.inWholeSeconds.toInt())
+                .setTotal(sum.total)
+                .setLate(sum.late)
+                .setFailed(sum.failed)
+                .setHistogram(ByteString.copyFrom(buffer.array(), 0, length))
+                .build()
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/process/ProcessContext.kt
@@ -0,0 +1,83 @@
+/** What both roles have: identity, clock, transport and clients of the platform. */
+package org.jujubelead.runtime.process
+
+import arrow.fx.coroutines.ResourceScope
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import org.jujubelead.core.ids.Incarnation
+import org.jujubelead.core.ids.InstanceId
+import org.jujubelead.core.ids.ZoneId
+import org.jujubelead.core.membership.InstanceRecord
+import org.jujubelead.core.membership.InstanceRole
+import org.jujubelead.core.membership.InstanceState
+import org.jujubelead.platform.HttpInstanceDirectory
+import org.jujubelead.platform.HttpKeyValueStore
+import org.jujubelead.platform.InstanceDirectory
+import org.jujubelead.platform.KeyValueStore
+import org.jujubelead.protocol.ProcessSettings
+import org.jujubelead.runtime.rpc.Address
+import org.jujubelead.runtime.rpc.Transport
+import org.jujubelead.runtime.telemetry.Metrics
+import java.util.UUID
+
+/** The settings of a process do not let it start. */
+public class StartException(message: String) : Exception(message)
+
+/** Scoped to one run of a process. */
+public class ProcessContext(
+    public val settings: ProcessSettings,
+    public val listen: Address,
+    public val http: Address,
+    public val control: ControlThread,
+    public val transport: Transport,
+    public val keyValue: KeyValueStore,
+    public val directory: InstanceDirectory,
+    public val metrics: Metrics,
+    public val scope: CoroutineScope,
+) {
+    public val instance: InstanceId = InstanceId(settings.instance)
+    public val zone: ZoneId = ZoneId(settings.zone)
+    public val incarnation: Incarnation = Incarnation(UUID.randomUUID().toString())
+
+    /** The record by which this process is listed. */
+    public fun record(role: InstanceRole, state: InstanceState): InstanceRecord = InstanceRecord(
+        id = instance,
+        incarnation = incarnation,
+        zone = zone,
+        role = role,
+        host = listen.host,
+        port = listen.port,
+        state = state,
+    )
+}
+
+/** Opens what the process needs; everything is released with the scope. */
+public suspend fun ResourceScope.processContext(settings: ProcessSettings): ProcessContext {
+    val listen = address("listen", settings.listen)
+    val http = address("http", settings.http)
+    val control = install({ ControlThread("control") }) { it, _ -> it.close() }
+    val tls = if (settings.hasTls()) settings.tls else null
+    val transport = install({
+        Transport.create(tls, listen).getOrElse { throw StartException("tls: $it") }
+    }) { it, _ -> it.close() }
+    val keyValue = install({ HttpKeyValueStore(settings.keyValueUrl) }) { it, _ -> it.close() }
+    val directory = install({ HttpInstanceDirectory(settings.directoryUrl) }) { it, _ -> it.close() }
+    val scope = install({ CoroutineScope(SupervisorJob() + Dispatchers.Default) }) { it, _ -> it.cancel() }
+    return ProcessContext(
+        settings = settings,
+        listen = listen,
+        http = http,
+        control = control,
+        transport = transport,
+        keyValue = keyValue,
+        directory = directory,
+        metrics = Metrics(),
+        scope = scope,
+    )
+}
+
+private fun address(key: String, text: String): Address =
+    Address.parse(text) ?: throw StartException("$key: \"$text\" is not an IP number and port, such as 127.0.0.1:8080")
--- /dev/null
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/process/ProcessSettingsLoader.kt
@@ -0,0 +1,92 @@
+/** Reads the settings of one process from its YAML file. Keys are the field names of the schema. */
+package org.jujubelead.runtime.process
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.google.protobuf.Descriptors.FieldDescriptor
+import com.google.protobuf.Message
+import org.jujubelead.protocol.ProcessSettings
+import org.yaml.snakeyaml.LoaderOptions
+import org.yaml.snakeyaml.Yaml
+import org.yaml.snakeyaml.constructor.SafeConstructor
+import org.yaml.snakeyaml.error.YAMLException
+import java.io.File
+import java.io.IOException
+
+/** A fault in the file. [path] is the key it was found at. */
+public data class ProcessSettingsFault(val path: String, val message: String)
+
+/** Reads and checks [file]. All faults are reported. */
+public fun loadProcessSettings(file: File): Result<ProcessSettings, List<ProcessSettingsFault>> {
+    val root = try {
+        Yaml(SafeConstructor(LoaderOptions())).load<Any?>(file.readText())
+    } catch (e: IOException) {
+        return Err(listOf(ProcessSettingsFault(path = "", message = e.message.orEmpty())))
+    } catch (e: YAMLException) {
+        return Err(listOf(ProcessSettingsFault(path = "", message = e.message.orEmpty())))
+    }
+    val reader = MessageReader()
+    val builder = ProcessSettings.newBuilder()
+    reader.fill(builder, root, path = "")
+    val required = mapOf(
+        "instance" to builder.instance,
+        "zone" to builder.zone,
+        "listen" to builder.listen,
+        "http" to builder.http,
+        "key_value_url" to builder.keyValueUrl,
+        "directory_url" to builder.directoryUrl,
+    )
+    val missing = required.filterValues { it.isEmpty() }.keys.map { ProcessSettingsFault(it, "must be set") }
+    val faults = reader.faults + missing
+    return if (faults.isEmpty()) Ok(builder.build()) else Err(faults)
+}
+
+private class MessageReader {
+    val faults = ArrayList<ProcessSettingsFault>()
+
+    fun fill(builder: Message.Builder, value: Any?, path: String) {
+        val map = value as? Map<*, *> ?: return fault(path, "expected a mapping, found ${describe(value)}")
+        map.forEach { (key, item) ->
+            val name = if (path.isEmpty()) "$key" else "$path.$key"
+            val field = builder.descriptorForType.findFieldByName("$key")
+            if (field == null) {
+                val known = builder.descriptorForType.fields.joinToString { it.name }
+                fault(name, "is not a known key; known keys: $known")
+            } else {
+                read(builder, field, item, name)
+            }
+        }
+    }
+
+    private fun read(builder: Message.Builder, field: FieldDescriptor, value: Any?, path: String) {
+        when (field.javaType) {
+            FieldDescriptor.JavaType.MESSAGE -> {
+                val child = builder.newBuilderForField(field)
+                fill(child, value, path)
+                builder.setField(field, child.build())
+            }
+            FieldDescriptor.JavaType.STRING ->
+                if (value is String) builder.setField(field, value) else fault(path, "expected a string, found ${describe(value)}")
+            FieldDescriptor.JavaType.INT ->
+                if (value is Int && value >= 0) {
+                    builder.setField(field, value)
+                } else {
+                    fault(path, "expected a whole number of 0 or more, found ${describe(value)}")
+                }
+            FieldDescriptor.JavaType.BOOLEAN ->
+                if (value is Boolean) {
+                    builder.setField(field, value)
+                } else {
+                    fault(path, "expected true or false, found ${describe(value)}")
+                }
+            else -> error("fields of type ${field.javaType} are not used in process settings")
+        }
+    }
+
+    private fun fault(path: String, message: String) {
+        faults += ProcessSettingsFault(path = path, message = message)
+    }
+
+    private fun describe(value: Any?) = if (value == null) "nothing" else "\"$value\""
+}
