--- a/cli/src/main/kotlin/org/jujubelead/cli/Main.kt
+++ b/cli/src/main/kotlin/org/jujubelead/cli/Main.kt
@@ -1,8 +1,11 @@
 /** Entry point of the binary: finds the subcommand, parses its options, and turns wrong use into exit code 2. */
 package org.jujubelead.cli
 
+import org.jujubelead.cli.fleet.ExplainCommand
+import org.jujubelead.cli.fleet.StatusCommand
 import org.jujubelead.cli.roles.AgentCommand
 import org.jujubelead.cli.roles.EntryCommand
+import org.jujubelead.cli.settings.SettingsApply
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
 import org.kohsuke.args4j.ParserProperties
@@ -64,6 +67,9 @@
 private val commands: List<CommandEntry> = listOf(
     CommandEntry(name = "entry", summary = "run an entry, which callers connect to", create = ::EntryCommand),
     CommandEntry(name = "agent", summary = "run an agent beside a target", create = ::AgentCommand),
+    CommandEntry(name = "status", summary = "show the fleet at a glance", create = ::StatusCommand),
+    CommandEntry(name = "explain", summary = "show where a request went, and why", create = ::ExplainCommand),
+    CommandEntry(name = "settings apply", summary = "get a file of settings accepted", create = ::SettingsApply),
 )
 
 public fun main(args: Array<String>) {
