--- a/standins/src/main/kotlin/org/jujubelead/standins/EngineHttp.kt
+++ b/standins/src/main/kotlin/org/jujubelead/standins/EngineHttp.kt
@@ -3,12 +3,14 @@
 
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
+import io.ktor.server.response.respond
 import io.ktor.server.response.respondBytesWriter
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.RoutingContext
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
+import io.ktor.server.routing.put
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.writeStringUtf8
 import kotlinx.coroutines.coroutineScope
@@ -17,6 +19,7 @@
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import org.jujubelead.core.ids.AttemptId
+import org.jujubelead.core.ids.Fence
 import org.jujubelead.core.ids.ModelId
 import org.jujubelead.platform.GenerateBody
 import org.jujubelead.platform.GenerateLine
@@ -40,14 +43,31 @@
                     LoadBody(running = load.running, waiting = load.waiting, capacity = load.capacity),
                 )
             }
+            installOrders()
             control("/_control/engine", read = { service.faults }, write = { service.faults = it })
             get("/_control/counts") { call.respondJson(service.counts()) }
         }
     }
 
+    private fun Route.installOrders() {
+        put("/v1/model") {
+            val fence = Fence(call.required("fence").toLong())
+            accepted(service.loadModel(ModelId(call.required("model")), fence))
+        }
+        get("/v1/cache") {
+            val cache = service.exportCache(AttemptId(call.required("attempt")))
+            if (cache == null) call.respond(HttpStatusCode.NotFound) else call.respondJson(cache)
+        }
+        put("/v1/cache") { accepted(service.importCache(call.bodyJson())) }
+        get("/v1/cache-events") { call.respondJson(service.cacheEvents(call.required("after").toLong())) }
+    }
+
+    private suspend fun RoutingContext.accepted(yes: Boolean): Unit =
+        call.respond(if (yes) HttpStatusCode.NoContent else HttpStatusCode.Conflict)
+
     private suspend fun RoutingContext.generate() {
         val body = call.bodyJson<GenerateBody>()
-        if (body.model != service.profile.model) {
+        if (!service.serves(ModelId(body.model))) {
             val detail = "the model \"${body.model}\" is not loaded"
             call.respondText(detail, status = HttpStatusCode.NotFound)
             return
--- a/standins/src/main/kotlin/org/jujubelead/standins/EngineService.kt
+++ b/standins/src/main/kotlin/org/jujubelead/standins/EngineService.kt
@@ -11,11 +11,17 @@
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
 import kotlinx.serialization.Serializable
+import org.jujubelead.core.ids.AttemptId
+import org.jujubelead.core.ids.Fence
+import org.jujubelead.core.ids.ModelId
+import org.jujubelead.platform.CacheEvent
+import org.jujubelead.platform.CacheExport
 import org.jujubelead.platform.EngineError
 import org.jujubelead.platform.EngineLoad
 import org.jujubelead.platform.GenerationEvent
 import org.jujubelead.platform.GenerationRequest
 import java.util.PriorityQueue
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -28,6 +34,10 @@
     val tokenGap: Duration = 30.milliseconds,
     val cachedBlocks: Int = 1_024,
     val reportLag: Duration = 1.seconds,
+    val eventLag: Duration = 500.milliseconds,
+    val lostEvents: Double = 0.02,
+    val loadTime: Duration = 1.seconds,
+    val seed: Long = 1,
     val ignoresFences: Boolean = false,
 )
 
@@ -61,7 +71,16 @@
 
     private class Report(val atMillis: Long, val load: EngineLoad)
 
-    private val prefixes = PrefixCache(profile.cachedBlocks)
+    private val prefixes = PrefixCache(
+        capacity = profile.cachedBlocks,
+        eventLag = profile.eventLag,
+        lostEvents = profile.lostEvents,
+        random = Random(profile.seed),
+        nowMillis = nowMillis,
+    )
+    private val streams = HashMap<String, CacheExport>()
+    private var model = ModelId(profile.model)
+    private var highestFence = Fence(0)
     private val queue = PriorityQueue(compareByDescending<Waiter> { it.priority }.thenBy { it.order })
     private val reports = ArrayDeque<Report>()
     private var running = 0
@@ -74,14 +93,16 @@
 
     /** Runs a generation; cancelling the flow frees its slot. */
     public fun generate(request: GenerationRequest): Flow<GenerationEvent> = flow {
-        if (request.model.value != profile.model) {
+        if (!serves(request.model)) {
             val detail = "the model \"${request.model}\" is not loaded"
             emit(GenerationEvent.Failed(EngineError.Refused(detail)))
             return@flow
         }
         takeSlot(request.priority)
         try {
-            val cached = prefixes.use(request.prompt)
+            val known = request.prompt + request.delivered.joinToString("")
+            keep(request, known)
+            val cached = prefixes.use(known)
             pause(profile.firstToken * (1 - cached * (1 - CACHED_FIRST_TOKEN_SHARE)))
             val answer = AnswerText(prompt = request.prompt, seed = request.seed)
             val length = answer.length(request.maxTokens)
@@ -92,14 +113,57 @@
                     return@flow
                 }
                 if (position > request.delivered.size) pause(profile.tokenGap)
-                emit(GenerationEvent.Token(position = position, text = answer.token(position)))
+                val token = answer.token(position)
+                extend(request, token)
+                emit(GenerationEvent.Token(position = position, text = token))
             }
             emit(GenerationEvent.Done(tokens = length, reason = answer.reason(request.maxTokens)))
         } finally {
+            synchronized(this@EngineService) { streams.remove(request.attempt.value) }
             freeSlot()
         }
     }
 
+    /** Whether [id] is the model that is loaded now. */
+    @Synchronized
+    public fun serves(id: ModelId): Boolean = model == id
+
+    /** Changes the model; false for an order with an old fence, unless the engine ignores fences. */
+    public suspend fun loadModel(id: ModelId, fence: Fence): Boolean {
+        val accepted = synchronized(this) {
+            val current = profile.ignoresFences || fence >= highestFence
+            highestFence = maxOf(highestFence, fence)
+            current
+        }
+        if (!accepted) return false
+        pause(profile.loadTime)
+        // A higher order can have come while the weights were read.
+        return synchronized(this) {
+            val current = profile.ignoresFences || fence >= highestFence
+            if (current) model = id
+            current
+        }
+    }
+
+    /** The cache of a running stream. */
+    @Synchronized
+    public fun exportCache(attempt: AttemptId): CacheExport? = streams[attempt.value]
+
+    /** Takes the cache of a stream that ran elsewhere; false for another model. */
+    public fun importCache(cache: CacheExport): Boolean = serves(cache.model).also { if (it) prefixes.use(cache.text) }
+
+    /** Cache events after [sequence], late and with gaps. */
+    public fun cacheEvents(sequence: Long): List<CacheEvent> = prefixes.events(sequence)
+
+    @Synchronized
+    private fun keep(request: GenerationRequest, text: String) {
+        streams[request.attempt.value] = CacheExport(request.attempt, request.model, text)
+    }
+
+    private fun extend(request: GenerationRequest, token: String) {
+        exportCache(request.attempt)?.let { keep(request, it.text + token) }
+    }
+
     /** The load of [EngineProfile.reportLag] ago. */
     @Synchronized
     public fun load(): EngineLoad {
--- a/standins/src/main/kotlin/org/jujubelead/standins/Main.kt
+++ b/standins/src/main/kotlin/org/jujubelead/standins/Main.kt
@@ -59,7 +59,7 @@
         "directory" -> listOf(directory())
         "platform" -> listOf(keyValue(), directory())
         "engine" -> listOf(EngineHttp(EngineService(engineProfile(options))))
-        "service" -> listOf(ServiceHttp(name = options.name))
+        "service" -> listOf(ServiceHttp(name = options.name, seed = options.seed))
         else -> null
     }
 }
@@ -70,6 +70,7 @@
     firstToken = options.firstTokenMs.milliseconds,
     tokenGap = options.tokenGapMs.milliseconds,
     ignoresFences = options.ignoresFences,
+    seed = options.seed,
 )
 
 public fun main(args: Array<String>) {
--- a/standins/src/main/kotlin/org/jujubelead/standins/PrefixCache.kt
+++ b/standins/src/main/kotlin/org/jujubelead/standins/PrefixCache.kt
@@ -1,24 +1,64 @@
-/** Prefix cache of limited memory: least recently used blocks of prompt text go first. */
+/**
+ * Prefix cache of limited memory: least recently used blocks of prompt text go first.
+ *
+ * Its events are published late, and some are never published.
+ */
 package org.jujubelead.standins
 
+import org.jujubelead.platform.CacheEvent
+import kotlin.random.Random
+import kotlin.time.Duration
+
 private const val BLOCK_CHARS = 64
 private const val LOAD_FACTOR = 0.75f
+private const val MAX_EVENTS = 10_000
+
+/**
+ * The cache.
+ *
+ * @property capacity blocks of 64 characters that it holds.
+ * @property eventLag time until an event is published.
+ * @property lostEvents probability that an event is never published.
+ */
+internal class PrefixCache(
+    private val capacity: Int,
+    private val eventLag: Duration = Duration.ZERO,
+    private val lostEvents: Double = 0.0,
+    private val random: Random = Random(1),
+    private val nowMillis: () -> Long = System::currentTimeMillis,
+) {
+    private class Pending(val atMillis: Long, val event: CacheEvent)
 
-/** The cache; [capacity] is counted in blocks of 64 characters. */
-internal class PrefixCache(private val capacity: Int) {
     private val blocks = LinkedHashMap<Int, Unit>(capacity, LOAD_FACTOR, true)
+    private val events = ArrayDeque<Pending>()
+    private var sequence = 0L
 
-    /** Stores the blocks of [prompt] and returns the fraction that was there before, from the start on. */
+    /** Stores the blocks of [text] and returns the fraction that was there before, from the start on. */
     @Synchronized
-    fun use(prompt: String): Double {
-        val keys = (BLOCK_CHARS..prompt.length step BLOCK_CHARS).map { prompt.take(it).hashCode() }
+    fun use(text: String): Double {
+        val keys = (BLOCK_CHARS..text.length step BLOCK_CHARS).map { text.take(it).hashCode() }
         val hits = keys.takeWhile { it in blocks }.size
-        keys.forEach { blocks[it] = Unit }
+        keys.forEach { if (blocks.put(it, Unit) == null) publish(it, stored = true) }
         val oldest = blocks.keys.iterator()
         while (blocks.size > capacity) {
-            oldest.next()
+            val block = oldest.next()
             oldest.remove()
+            publish(block, stored = false)
         }
         return if (keys.isEmpty()) 0.0 else hits.toDouble() / keys.size
     }
+
+    /** Events after [after] that are published by now. */
+    @Synchronized
+    fun events(after: Long): List<CacheEvent> {
+        val until = nowMillis() - eventLag.inWholeMilliseconds
+        return events.filter { it.atMillis <= until && it.event.sequence > after }.map { it.event }
+    }
+
+    private fun publish(block: Int, stored: Boolean) {
+        sequence += 1
+        if (random.nextDouble() < lostEvents) return
+        events += Pending(atMillis = nowMillis(), event = CacheEvent(sequence, block, stored))
+        if (events.size > MAX_EVENTS) events.removeFirst()
+    }
 }
--- a/standins/src/main/kotlin/org/jujubelead/standins/StandInServer.kt
+++ b/standins/src/main/kotlin/org/jujubelead/standins/StandInServer.kt
@@ -7,6 +7,7 @@
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.embeddedServer
+import io.ktor.server.plugins.BadRequestException
 import io.ktor.server.request.receiveChannel
 import io.ktor.server.response.respond
 import io.ktor.server.response.respondText
@@ -77,7 +78,7 @@
 internal fun ApplicationCall.parameter(name: String): String? = request.queryParameters[name]
 
 internal fun ApplicationCall.required(name: String): String =
-    parameter(name) ?: throw IllegalArgumentException("the parameter \"$name\" is missing")
+    parameter(name) ?: throw BadRequestException("the parameter \"$name\" is missing")
 
 internal suspend fun ApplicationCall.bodyBytes(): ByteArray =
     receiveChannel().readRemaining(MAX_BODY_BYTES).readByteArray()
--- /dev/null
+++ b/standins/src/test/kotlin/org/jujubelead/standins/HttpInstanceDirectoryTest.kt
@@ -0,0 +1,66 @@
+package org.jujubelead.standins
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import kotlinx.coroutines.runBlocking
+import org.jujubelead.core.ids.Incarnation
+import org.jujubelead.core.ids.InstanceId
+import org.jujubelead.core.ids.ZoneId
+import org.jujubelead.core.membership.InstanceRecord
+import org.jujubelead.core.membership.InstanceRole
+import org.jujubelead.core.membership.InstanceState
+import org.jujubelead.platform.DirectoryError
+import org.jujubelead.platform.HttpInstanceDirectory
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration.Companion.milliseconds
+
+class HttpInstanceDirectoryTest {
+    private val service = DirectoryService()
+    private val server = StandInServer(modules = listOf(DirectoryHttp(service)))
+    private val directory = HttpInstanceDirectory(server.baseUrl)
+    private val record = InstanceRecord(
+        id = InstanceId("a"),
+        incarnation = Incarnation("1"),
+        zone = ZoneId("z"),
+        role = InstanceRole.AGENT,
+        host = "127.0.0.1",
+        port = 1,
+    )
+
+    @AfterEach
+    fun stop() {
+        directory.close()
+        server.close()
+    }
+
+    /** Guards against records that change on the wire, and outages that look like an empty list. */
+    @Test
+    fun `records cross the wire and an outage is an error`() = runBlocking<Unit> {
+        directory.announce(record)
+        expectThat(directory.snapshot().get()).isEqualTo(listOf(record))
+        server.control("directory", """{"outage":true}""")
+        expectThat(directory.snapshot().getError()).isA<DirectoryError.Unavailable>()
+        server.close()
+        expectThat(directory.snapshot().getError()).isA<DirectoryError.Unavailable>()
+    }
+
+    /** Guards against a list that shows changes before its lag, or while it is frozen. */
+    @Test
+    fun `the list lags, freezes, and keeps the platform's mark`() {
+        service.lag = 100.milliseconds
+        service.announce(record, nowMillis = 0)
+        expectThat(service.snapshot(99)).isEqualTo(emptyList())
+        expectThat(service.snapshot(100)).containsExactly(record)
+        service.markLeaving(record.id, nowMillis = 200)
+        service.announce(record, nowMillis = 250)
+        service.frozen = true
+        expectThat(service.snapshot(400)).containsExactly(record)
+        service.frozen = false
+        expectThat(service.snapshot(400)).containsExactly(record.copy(state = InstanceState.LEAVING))
+    }
+}
