--- a/cli/src/main/kotlin/org/jujubelead/cli/fleet/ExplainCommand.kt
+++ b/cli/src/main/kotlin/org/jujubelead/cli/fleet/ExplainCommand.kt
@@ -15,7 +15,11 @@
         val answers = askEntries(options) { it.explain(request) }
         val found = answers.filter { it.value?.found == true }
         found.forEach { println("${it.entry.id} (${it.entry.zone})\n${it.value?.text}") }
-        if (found.isEmpty()) System.err.println("jujubelead: no entry knows request \"$requestId\"; each keeps its last 8192")
+        if (found.isEmpty()) {
+            System.err.println(
+                "jujubelead: no entry knows request \"$requestId\"; each keeps its last 8192",
+            )
+        }
         return if (found.isEmpty()) ExitCode.FAILED else ExitCode.OK
     }
 }
--- a/cli/src/main/kotlin/org/jujubelead/cli/fleet/FleetCommand.kt
+++ b/cli/src/main/kotlin/org/jujubelead/cli/fleet/FleetCommand.kt
@@ -14,7 +14,11 @@
     @Option(name = "--key-store", metaVar = "FILE", usage = "PKCS #12 file with this operator's key")
     private var keyStore: String = ""
 
-    @Option(name = "--trust-store", metaVar = "FILE", usage = "PKCS #12 file with the trusted keys; default: the key store")
+    @Option(
+        name = "--trust-store",
+        metaVar = "FILE",
+        usage = "PKCS #12 file with the trusted keys; default: the key store",
+    )
     private var trustStore: String = ""
 
     @Option(name = "--password", metaVar = "TEXT", usage = "password of both files")
--- a/cli/src/main/kotlin/org/jujubelead/cli/roles/RoleCommands.kt
+++ b/cli/src/main/kotlin/org/jujubelead/cli/roles/RoleCommands.kt
@@ -15,7 +15,12 @@
 
 /** A command that runs one role until it is stopped. */
 public abstract class RoleCommand(private val role: suspend (ProcessSettings) -> Unit) : Command {
-    @Option(name = "--settings", required = true, metaVar = "FILE", usage = "YAML file with the settings of this process")
+    @Option(
+        name = "--settings",
+        required = true,
+        metaVar = "FILE",
+        usage = "YAML file with the settings of this process",
+    )
     private lateinit var file: File
 
     override fun run(): Int {
--- a/core/src/main/kotlin/org/jujubelead/core/routing/PrefixHashes.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/routing/PrefixHashes.kt
@@ -9,6 +9,14 @@
     public const val MOST_BLOCKS: Int = 64
 
     private const val FNV_OFFSET = -3750763034362895579L
+
+    // Constants of the SplitMix64 finalizer.
+    private const val SHIFT_1 = 30
+    private const val SHIFT_2 = 27
+    private const val SHIFT_3 = 31
+    private const val MULTIPLIER_1 = -4658895280553007687L
+    private const val MULTIPLIER_2 = -7723592293110705685L
+
     private const val FNV_PRIME = 1099511628211L
 
     /** One hash for every whole block of [prompt], shortest prefix first. */
@@ -28,8 +36,8 @@
     /** Spreads the bits of [value] evenly. */
     public fun mix(value: Long): Long {
         var z = value
-        z = (z xor (z ushr 30)) * -4658895280553007687L
-        z = (z xor (z ushr 27)) * -7723592293110705685L
-        return z xor (z ushr 31)
+        z = (z xor (z ushr SHIFT_1)) * MULTIPLIER_1
+        z = (z xor (z ushr SHIFT_2)) * MULTIPLIER_2
+        return z xor (z ushr SHIFT_3)
     }
 }
--- a/core/src/main/kotlin/org/jujubelead/core/stream/FrameAssembler.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/stream/FrameAssembler.kt
@@ -1,7 +1,8 @@
 /**
  * Puts the frames of one attempt in order on the receiving side.
  *
- * Frames can be repeated (after a resume), late (from an earlier attempt) or missing (after a broken connection). Only the
+ * Frames can be repeated (after a resume), late (from an earlier attempt) or missing (after a broken connection). Only
+ * the
  * next frame in sequence is delivered, and the answer is complete only with an end frame whose count matches.
  */
 package org.jujubelead.core.stream
--- a/core/src/main/kotlin/org/jujubelead/core/stream/TokenSequence.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/stream/TokenSequence.kt
@@ -1,7 +1,8 @@
 /**
  * Tokens of one model answer on their way to the caller, over all attempts.
  *
- * A stream that moves to another target continues at the first token that the caller does not have yet, so that no token is
+ * A stream that moves to another target continues at the first token that the caller does not have yet, so that no
+ * token is
  * repeated or skipped.
  */
 package org.jujubelead.core.stream
@@ -19,7 +20,9 @@
     /** Classifies the token at [position] of the whole answer and keeps it when it is the next one. */
     public fun accept(position: Int, text: String): TokenVerdict = when {
         position < tokens.size -> TokenVerdict.DUPLICATE
+
         position > tokens.size -> TokenVerdict.GAP
+
         else -> {
             tokens += text
             TokenVerdict.DELIVER
--- /dev/null
+++ b/core/src/test/kotlin/org/jujubelead/core/stream/FrameBufferTest.kt
@@ -0,0 +1,33 @@
+package org.jujubelead.core.stream
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+
+class FrameBufferTest {
+    /** Guards against a resume that gets other frames than the first reader got. */
+    @Test
+    fun `frames stay readable at their position until they are acknowledged`() {
+        val buffer = FrameBuffer<String>(capacity = 3)
+        listOf("a", "b", "c").forEach(buffer::append)
+        expectThat(buffer.isFull).isTrue()
+        buffer.acknowledge(2)
+        expectThat(buffer.isFull).isFalse()
+        expectThat(buffer.read(1)).isEqualTo(FrameRead.Released)
+        expectThat(buffer.read(2)).isEqualTo(FrameRead.Available("c"))
+        expectThat(buffer.read(3)).isEqualTo(FrameRead.NotYet)
+        buffer.close()
+        expectThat(buffer.read(3)).isEqualTo(FrameRead.Closed)
+    }
+
+    /** Guards against an acknowledgement beyond the last frame that shifts later positions. */
+    @Test
+    fun `an acknowledgement beyond the end releases what there is`() {
+        val buffer = FrameBuffer<String>(capacity = 3)
+        buffer.append("a")
+        buffer.acknowledge(9)
+        expectThat(buffer.nextSequence).isEqualTo(1)
+    }
+}
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
@@ -58,12 +58,12 @@
     var current: SettingsSnapshot? = null
     val signal = StopSignal { stopNow(state) }
     signal.install()
-    install({ context.transport.serve(context.listen, listOf(AgentService(state))) }) { it, _ ->
-        it.shutdownNow().awaitTermination(1, TimeUnit.SECONDS)
+    install({ context.transport.serve(context.listen, listOf(AgentService(state))) }) { resource, _ ->
+        resource.shutdownNow().awaitTermination(1, TimeUnit.SECONDS)
     }
     val http = install({
         startHttp(context.http, context.metrics, readiness = { unreadyReason(state, current) })
-    }) { it, _ -> it.stopGracefully() }
+    }) { resource, _ -> resource.stopGracefully() }
     context.scope.launch {
         context.followSettings { snapshot ->
             current = snapshot
@@ -87,9 +87,11 @@
 
 private suspend fun ResourceScope.targetRunner(target: TargetSettings): TargetRunner = when {
     target.model.isNotEmpty() && target.service.isEmpty() ->
-        TargetRunner.Model(install({ HttpModelEngine(target.url) }) { it, _ -> it.close() })
+        TargetRunner.Model(install({ HttpModelEngine(target.url) }) { resource, _ -> resource.close() })
+
     target.service.isNotEmpty() && target.model.isEmpty() ->
-        TargetRunner.Service(install({ HttpPlainService(target.url) }) { it, _ -> it.close() })
+        TargetRunner.Service(install({ HttpPlainService(target.url) }) { resource, _ -> resource.close() })
+
     else -> throw StartException("target: set either model or service")
 }
 
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentService.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentService.kt
@@ -1,7 +1,8 @@
 /**
  * gRPC face of an agent: admits attempts through the ledger, streams their answers, and confirms cancellations.
  *
- * The ledger belongs to the control thread. An attempt is handed over to the target only after the ledger, on that thread,
+ * The ledger belongs to the control thread. An attempt is handed over to the target only after the ledger, on that
+ * thread,
  * has said so; the work itself and the streaming run on traffic threads.
  */
 package org.jujubelead.runtime.agent
@@ -59,8 +60,10 @@
                 val stream = state.start(request, attempt)
                 emitAll(stream.read(from = 0, now = control::now))
             }
+
             // The sender sends an attempt once; a copy made on the way gets the same answer and does not run again.
             is AdmitDecision.AlreadyKnown -> emitAll(resumeFrames(attempt, from = 0))
+
             is AdmitDecision.Refused -> {
                 Event.ATTEMPT_REFUSED.log("attempt=${attempt.value} cause=${decision.cause}")
                 emit(
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
@@ -72,7 +72,9 @@
             capacity = STREAM_CAPACITY,
             frames = frames,
         )
-        val job = traffic.launch(start = kotlinx.coroutines.CoroutineStart.LAZY) { target.run(request, stream, this@AgentState) }
+        val job = traffic.launch(start = kotlinx.coroutines.CoroutineStart.LAZY) {
+            target.run(request, stream, this@AgentState)
+        }
         works[attempt] = Work(stream = stream, cancellable = request.hasGeneration(), job = job)
         job.start()
         return stream
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AttemptStream.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AttemptStream.kt
@@ -95,11 +95,14 @@
                         emit(read.frame)
                         sequence += 1
                     }
+
                     FrameRead.NotYet -> emit(frames.frame(attempt, sequence) { heartbeatBuilder })
+
                     FrameRead.Released -> {
                         emit(frames.refusal(attempt, RefusalReason.FRAMES_RELEASED, notRun = false, detail = ""))
                         return@flow
                     }
+
                     FrameRead.Closed -> return@flow
                 }
             }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/TargetRunner.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/TargetRunner.kt
@@ -40,7 +40,9 @@
                         is GenerationEvent.Token -> stream.append {
                             tokenBuilder.setPosition(event.position).setText(event.text)
                         }
+
                         is GenerationEvent.Done -> stream.end(event.reason)
+
                         is GenerationEvent.Failed -> refuseEngine(event.error, stream, state)
                     }
                 }
@@ -50,7 +52,9 @@
             Event.TARGET_FAILED.log("attempt=${stream.attempt} error=$error")
             when (error) {
                 is EngineError.Unreachable -> notStarted(stream, state, RefusalReason.TARGET_UNREACHABLE, error.detail)
+
                 is EngineError.Refused -> notStarted(stream, state, RefusalReason.TARGET_FAILED, error.detail)
+
                 is EngineError.BrokenOff ->
                     stream.refuse(RefusalReason.TARGET_FAILED, notRun = false, detail = error.detail)
             }
@@ -72,6 +76,7 @@
             Event.TARGET_FAILED.log("attempt=${stream.attempt} error=$error")
             when (error) {
                 is ServiceError.Unreachable -> notStarted(stream, state, RefusalReason.TARGET_UNREACHABLE, error.detail)
+
                 is ServiceError.NoAnswer ->
                     stream.refuse(RefusalReason.TARGET_FAILED, notRun = false, detail = error.detail)
             }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/AdmissionGate.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/AdmissionGate.kt
@@ -1,7 +1,10 @@
 /** Lets requests pass as the admission policy decides, and keeps those that wait. */
 package org.jujubelead.runtime.entry
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.jujubelead.core.admission.AdmissionDecision
 import org.jujubelead.core.admission.AdmissionPolicy
@@ -76,11 +79,15 @@
         }
     }
 
-    private suspend fun await(request: AdmissionRequest, waiter: CompletableDeferred<Unit>, until: Timestamp): Admission {
+    private suspend fun await(
+        request: AdmissionRequest,
+        waiter: CompletableDeferred<Unit>,
+        until: Timestamp,
+    ): Admission {
         try {
             withTimeoutOrNull(until - control.now()) { waiter.await() }
-        } catch (e: kotlinx.coroutines.CancellationException) {
-            kotlinx.coroutines.withContext(kotlinx.coroutines.NonCancellable) {
+        } catch (e: CancellationException) {
+            withContext(NonCancellable) {
                 if (!withdraw(request.workspace, waiter)) leave(request.workspace)
             }
             throw e
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/AttemptRunner.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/AttemptRunner.kt
@@ -1,7 +1,8 @@
 /**
  * Runs one attempt on one agent and delivers its frames in order.
  *
- * The agent sends heartbeats while it has nothing to send. Silence means that the connection or the agent is gone: the runner
+ * The agent sends heartbeats while it has nothing to send. Silence means that the connection or the agent is gone: the
+ * runner
  * opens a new connection and resumes the attempt at the first frame it does not have.
  */
 package org.jujubelead.runtime.entry
@@ -97,8 +98,10 @@
         while (true) {
             when (val e = end) {
                 is StreamEnd.Ended -> return e.end
+
                 is StreamEnd.NotConnected ->
                     return if (progress.started) AttemptEnd.Lost(e.detail) else AttemptEnd.Unreachable(e.detail)
+
                 is StreamEnd.Silent -> {
                     progress.started = true
                     if (resumes == MAX_RESUMES) return AttemptEnd.Lost(e.detail)
@@ -137,9 +140,19 @@
         when (e.status.code) {
             // Every call waits for a connection first, so a refused connection proves that nothing was sent.
             Status.Code.UNAVAILABLE ->
-                if (e.isConnectFailure()) StreamEnd.NotConnected(e.message.orEmpty()) else StreamEnd.Silent(e.message.orEmpty())
+                if (e.isConnectFailure()) {
+                    StreamEnd.NotConnected(
+                        e.message.orEmpty(),
+                    )
+                } else {
+                    StreamEnd.Silent(e.message.orEmpty())
+                }
+
             Status.Code.INVALID_ARGUMENT ->
-                StreamEnd.Ended(AttemptEnd.Refused(RefusalReason.MALFORMED, notRun = true, detail = e.message.orEmpty()))
+                StreamEnd.Ended(
+                    AttemptEnd.Refused(RefusalReason.MALFORMED, notRun = true, detail = e.message.orEmpty()),
+                )
+
             else -> StreamEnd.Silent(e.message.orEmpty())
         }
     }
@@ -156,7 +169,8 @@
             val result = withTimeoutOrNull(limit) { received.receiveCatching() }
                 ?: return StreamEnd.Silent("no frame within $limit")
             val frame = result.getOrNull()
-                ?: return result.exceptionOrNull()?.let { throw it } ?: StreamEnd.Silent("the stream ended without end frame")
+                ?: return result.exceptionOrNull()?.let { throw it }
+                    ?: StreamEnd.Silent("the stream ended without end frame")
             limit = SILENCE_LIMIT
             progress.started = true
             observe(target, frame)
@@ -188,8 +202,11 @@
                 deliver(frame)
                 null
             }
+
             is FrameVerdict.Drop -> null
+
             is FrameVerdict.Gap -> StreamEnd.Silent("frame ${verdict.expected} is missing")
+
             FrameVerdict.Complete -> StreamEnd.Ended(AttemptEnd.Complete(frame.end.finishReason))
         }
     }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Callers.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Callers.kt
@@ -71,7 +71,12 @@
 internal suspend fun boundedBody(call: ApplicationCall, values: EffectiveSettings): Result<ByteArray, Problem> {
     val headerBytes = call.request.headers.entries().sumOf { (name, all) -> all.sumOf { name.length + it.length } }
     if (headerBytes > values.maxHeaderBytes) {
-        return Err(Problem(ProblemCode.HEADERS_TOO_LARGE, "the headers have $headerBytes bytes, over ${values.maxHeaderBytes}"))
+        return Err(
+            Problem(
+                ProblemCode.HEADERS_TOO_LARGE,
+                "the headers have $headerBytes bytes, over ${values.maxHeaderBytes}",
+            ),
+        )
     }
     val announced = call.request.header(HttpHeaders.ContentLength)?.toLongOrNull() ?: 0
     val tooLarge = Problem(ProblemCode.BODY_TOO_LARGE, "the body has more than ${values.maxBodyBytes} bytes")
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/ChatRoutes.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/ChatRoutes.kt
@@ -115,7 +115,9 @@
         }
         val values = caller.settings.forModel(caller.workspace, model, state.zone)
         val deadline = deadline(call, values, start).getOrElse { return Err(it) }
-        return Ok(ChatJob(id = id, caller = caller, request = request, values = values, start = start, deadline = deadline))
+        return Ok(
+            ChatJob(id = id, caller = caller, request = request, values = values, start = start, deadline = deadline),
+        )
     }
 
     private fun workspaceScope(caller: Caller) =
@@ -154,8 +156,12 @@
                         if (frame.contentCase == Frame.ContentCase.TOKEN) {
                             when (tokens.accept(frame.token.position, frame.token.text)) {
                                 TokenVerdict.DELIVER -> emit(frame.token.text)
+
                                 TokenVerdict.DUPLICATE -> Unit
-                                TokenVerdict.GAP -> error("token ${frame.token.position} arrived before ${tokens.delivered.size}")
+
+                                TokenVerdict.GAP -> error(
+                                    "token ${frame.token.position} arrived before ${tokens.delivered.size}",
+                                )
                             }
                         }
                     },
@@ -165,7 +171,7 @@
         return end.fold(
             success = {
                 when (it) {
-                    DispatchEnd.Complete -> ChatEvent.Done(reason = "stop")
+                    is DispatchEnd.Complete -> ChatEvent.Done(it.finishReason)
                     is DispatchEnd.Failed -> ChatEvent.Failed(entry.problem(it))
                 }
             },
@@ -207,7 +213,9 @@
                     text.append(event.text)
                     tokens += 1
                 }
+
                 is ChatEvent.Failed -> return call.respondProblem(event.problem, job.id)
+
                 is ChatEvent.Done -> {
                     val answer = job.answer(text.toString(), tokens, event.reason)
                     val body = chatJson.encodeToString(ChatAnswer.serializer(), answer)
@@ -230,11 +238,14 @@
     private suspend fun ByteWriteChannel.writeEvent(job: ChatJob, event: ChatEvent) {
         when (event) {
             is ChatEvent.Token -> writeData(job.chunk(ChatDelta(content = event.text)))
+
             is ChatEvent.Done -> {
                 writeData(job.chunk(ChatDelta(), finishReason = event.reason))
                 writeStringUtf8("data: [DONE]\n\n")
             }
-            // The answer has begun: the caller learns from the event, and from the missing [DONE], that it is not whole.
+
+            // The answer has begun: the caller learns from the event, and from the missing [DONE], that it is not
+            // whole.
             is ChatEvent.Failed -> writeStringUtf8("event: error\ndata: ${event.problem.toJson(job.id.value)}\n\n")
         }
         flush()
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Dispatch.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Dispatch.kt
@@ -64,7 +64,7 @@
 
 /** Result of all attempts of a request. */
 public sealed interface DispatchEnd {
-    public data object Complete : DispatchEnd
+    public data class Complete(val finishReason: String) : DispatchEnd
 
     /** The outcome follows from the evidence in the context, over all attempts. */
     public data class Failed(val code: ProblemCode, val detail: String) : DispatchEnd
@@ -82,7 +82,8 @@
     public val attempts: AttemptRunner = AttemptRunner(channels = channels, observe = state::observe)
 
     /**
-     * Runs the request until it is answered or given up. [work] fills in what to send for the next attempt; [deliver] gets each
+     * Runs the request until it is answered or given up. [work] fills in what to send for the next attempt; [deliver]
+     * gets each
      * content frame once.
      */
     public suspend fun dispatch(
@@ -102,9 +103,13 @@
             )
             val target = when (val decision = state.choose(request)) {
                 is RoutingDecision.Chosen -> {
-                    traces.add(context.request, "attempt ${count + 1} to ${decision.target.key.instance} (${decision.reason})")
+                    traces.add(
+                        context.request,
+                        "attempt ${count + 1} to ${decision.target.key.instance} (${decision.reason})",
+                    )
                     decision.target
                 }
+
                 is RoutingDecision.NoTarget ->
                     return DispatchEnd.Failed(ProblemCode.NO_TARGET, detail = decision.reason.name.lowercase())
             }
@@ -112,7 +117,7 @@
             tried += target.key
             val end = attempt(context, target, request, work, deliver)
             traces.add(context.request, "ended: $end")
-            if (end is AttemptEnd.Complete) return DispatchEnd.Complete
+            if (end is AttemptEnd.Complete) return DispatchEnd.Complete(end.finishReason)
             report(target, end)
             val failed = FailedAttempt(
                 failure = end.failure(),
@@ -152,7 +157,8 @@
     }
 
     /**
-     * Runs [request] and keeps what its end proves. When the caller leaves or its deadline passes, the target is told to
+     * Runs [request] and keeps what its end proves. When the caller leaves or its deadline passes, the target is told
+     * to
      * stop.
      */
     public suspend fun runAttempt(
@@ -231,9 +237,12 @@
     private fun refusalEvent(target: Target, end: AttemptEnd.Refused): MembershipEvent? = when (end.reason) {
         RefusalReason.DRAINING ->
             MembershipEvent.AgentDraining(target.key, tickMillis = state.ticks.fresh(target.key) ?: 0L)
+
         RefusalReason.WRONG_INCARNATION, RefusalReason.TARGET_UNREACHABLE ->
             MembershipEvent.AttemptFailed(target.key, FailureKind.REFUSED)
+
         RefusalReason.TARGET_FAILED -> MembershipEvent.AttemptFailed(target.key, FailureKind.ERROR)
+
         else -> null
     }
 
@@ -254,8 +263,11 @@
 
 private fun AttemptEnd.failure(): AttemptFailure = when (this) {
     is AttemptEnd.Complete -> error("a complete attempt has not failed")
+
     is AttemptEnd.Unreachable -> AttemptFailure.UNREACHABLE
+
     is AttemptEnd.Lost -> AttemptFailure.BROKEN
+
     is AttemptEnd.Refused -> when (reason) {
         RefusalReason.DRAINING, RefusalReason.WRONG_INCARNATION -> AttemptFailure.REFUSED_LEAVING
         RefusalReason.OVERLOADED, RefusalReason.STALE_TICK -> AttemptFailure.REFUSED_OVERLOADED
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
@@ -39,7 +39,7 @@
         seed = context.incarnation.value.hashCode().toLong(),
         scope = context.scope,
     )
-    val channels = install({ TargetChannels(context.transport) }) { it, _ -> it.close() }
+    val channels = install({ TargetChannels(context.transport) }) { resource, _ -> resource.close() }
     val traces = RequestTraces(context.control::now)
     val dispatcher = Dispatcher(state = state, channels = channels, traces = traces)
     val services = EntryServices(
@@ -51,15 +51,15 @@
     )
     val signal = StopSignal { stopNow(services) }
     signal.install()
-    install({ context.transport.serve(context.listen, listOf(PeerService(services))) }) { it, _ ->
-        it.shutdownNow().awaitTermination(1, TimeUnit.SECONDS)
+    install({ context.transport.serve(context.listen, listOf(PeerService(services))) }) { resource, _ ->
+        resource.shutdownNow().awaitTermination(1, TimeUnit.SECONDS)
     }
     val http = install({
         startHttp(context.http, context.metrics, readiness = { state.unreadyReason() }) {
             ChatRoutes(services).install(this)
             ServiceRoutes(services, KeyedCalls()).install(this)
         }
-    }) { it, _ -> it.stopGracefully() }
+    }) { resource, _ -> resource.stopGracefully() }
     EntryLoops(state = state, dispatcher = dispatcher, channels = channels, directory = context.directory)
         .start(context.scope)
     context.scope.launch {
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryServices.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryServices.kt
@@ -73,7 +73,11 @@
     }
 
     fun countResult(kind: String, problem: Problem?) {
-        if (problem != null) Event.REQUEST_FAILED.log("kind=$kind code=${problem.code.text} detail=\"${problem.detail}\"")
+        if (problem !=
+            null
+        ) {
+            Event.REQUEST_FAILED.log("kind=$kind code=${problem.code.text} detail=\"${problem.detail}\"")
+        }
         metrics.requests.labelValues(kind, problem?.code?.text ?: "ok").inc()
     }
 }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryState.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryState.kt
@@ -5,6 +5,8 @@
  */
 package org.jujubelead.runtime.entry
 
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
 import org.jujubelead.core.admission.AdmissionState
 import org.jujubelead.core.admission.WorkspaceLimits
 import org.jujubelead.core.ids.InstanceId
@@ -30,8 +32,6 @@
 import org.jujubelead.runtime.process.ControlThread
 import org.jujubelead.settings.SettingsScope
 import org.jujubelead.settings.SettingsSnapshot
-import kotlinx.coroutines.launch
-import kotlinx.coroutines.CoroutineScope
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.math.ceil
 import kotlin.random.Random
@@ -72,7 +72,9 @@
     public val ticks: TargetTicks = TargetTicks(control::now)
     private val gates = ConcurrentHashMap<TargetSetId, AdmissionGate>()
 
-    /** Admission to the targets of [set]. Sets have gates of their own, so that a full model does not delay a service. */
+    /**
+     * Admission to the targets of [set]. Sets have gates of their own, so that a full model does not delay a service.
+     */
     public fun gate(set: TargetSetId): AdmissionGate = gates.computeIfAbsent(set) {
         AdmissionGate(
             control = control,
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/PeerService.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/PeerService.kt
@@ -43,7 +43,15 @@
                     TargetStatus.newBuilder()
                         .setInstance(target.key.instance.value)
                         .setZone(target.zone.value)
-                        .setState(if (usable) "in use" else if (ejected) "ejected" else "leaving")
+                        .setState(
+                            if (usable) {
+                                "in use"
+                            } else if (ejected) {
+                                "ejected"
+                            } else {
+                                "leaving"
+                            },
+                        )
                         .setInFlight(state.loads.load(target.key)?.inFlight ?: 0)
                         .build()
                 },
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Problem.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Problem.kt
@@ -1,7 +1,8 @@
 /**
  * Answers to callers that are not a success, as `application/problem+json`.
  *
- * Each has a stable code and an outcome: `not-run` means that the request did not run and never will; `unknown` means that it
+ * Each has a stable code and an outcome: `not-run` means that the request did not run and never will; `unknown` means
+ * that it
  * may have run.
  */
 package org.jujubelead.runtime.entry
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/ServiceRoutes.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/ServiceRoutes.kt
@@ -75,7 +75,9 @@
                 head = frame.head
                 body.reset()
             }
+
             Frame.ContentCase.BODY -> frame.body.writeTo(body)
+
             else -> Unit
         }
     }
@@ -166,7 +168,7 @@
         val reply = CollectedReply()
         val end = entry.dispatcher.dispatch(job.context, job.routing, work = { call = job.call }, deliver = reply::add)
         return when (end) {
-            DispatchEnd.Complete -> Ok(reply)
+            is DispatchEnd.Complete -> Ok(reply)
             is DispatchEnd.Failed -> Err(entry.problem(end))
         }
     }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/TargetTicks.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/TargetTicks.kt
@@ -1,7 +1,8 @@
 /**
  * Latest tick of each agent's own clock known to this entry.
  *
- * Each attempt carries a tick that was learnt before the attempt was created, so that an agent can refuse an attempt that was
+ * Each attempt carries a tick that was learnt before the attempt was created, so that an agent can refuse an attempt
+ * that was
  * delayed on its way.
  */
 package org.jujubelead.runtime.entry
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/process/Announcer.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/process/Announcer.kt
@@ -12,6 +12,7 @@
 
 private val RETRY_FIRST: Duration = 0.5.seconds
 private val RETRY_LONGEST: Duration = 10.seconds
+private const val JITTER = 0.5
 
 /** Announces [record] until the platform has taken it; waits longer after each failure, with jitter. */
 public suspend fun InstanceDirectory.announceUntilTaken(record: InstanceRecord) {
@@ -23,7 +24,7 @@
             Event.DIRECTORY_UNAVAILABLE.log("announce failed: $it")
         }
         if (!failed) return
-        delay(wait * Random.nextDouble(0.5, 1.5))
+        delay(wait * Random.nextDouble(1 - JITTER, 1 + JITTER))
         wait = minOf(wait * 2, RETRY_LONGEST)
     }
 }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/process/ProcessContext.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/process/ProcessContext.kt
@@ -58,14 +58,14 @@
 public suspend fun ResourceScope.processContext(settings: ProcessSettings): ProcessContext {
     val listen = address("listen", settings.listen)
     val http = address("http", settings.http)
-    val control = install({ ControlThread("control") }) { it, _ -> it.close() }
+    val control = install({ ControlThread("control") }) { resource, _ -> resource.close() }
     val tls = if (settings.hasTls()) settings.tls else null
     val transport = install({
         Transport.create(tls, listen).getOrElse { throw StartException("tls: $it") }
-    }) { it, _ -> it.close() }
-    val keyValue = install({ HttpKeyValueStore(settings.keyValueUrl) }) { it, _ -> it.close() }
-    val directory = install({ HttpInstanceDirectory(settings.directoryUrl) }) { it, _ -> it.close() }
-    val scope = install({ CoroutineScope(SupervisorJob() + Dispatchers.Default) }) { it, _ -> it.cancel() }
+    }) { resource, _ -> resource.close() }
+    val keyValue = install({ HttpKeyValueStore(settings.keyValueUrl) }) { resource, _ -> resource.close() }
+    val directory = install({ HttpInstanceDirectory(settings.directoryUrl) }) { resource, _ -> resource.close() }
+    val scope = install({ CoroutineScope(SupervisorJob() + Dispatchers.Default) }) { resource, _ -> resource.cancel() }
     return ProcessContext(
         settings = settings,
         listen = listen,
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/process/ProcessSettingsLoader.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/process/ProcessSettingsLoader.kt
@@ -66,20 +66,31 @@
                 fill(child, value, path)
                 builder.setField(field, child.build())
             }
+
             FieldDescriptor.JavaType.STRING ->
-                if (value is String) builder.setField(field, value) else fault(path, "expected a string, found ${describe(value)}")
+                if (value is String) {
+                    builder.setField(
+                        field,
+                        value,
+                    )
+                } else {
+                    fault(path, "expected a string, found ${describe(value)}")
+                }
+
             FieldDescriptor.JavaType.INT ->
                 if (value is Int && value >= 0) {
                     builder.setField(field, value)
                 } else {
                     fault(path, "expected a whole number of 0 or more, found ${describe(value)}")
                 }
+
             FieldDescriptor.JavaType.BOOLEAN ->
                 if (value is Boolean) {
                     builder.setField(field, value)
                 } else {
                     fault(path, "expected true or false, found ${describe(value)}")
                 }
+
             else -> error("fields of type ${field.javaType} are not used in process settings")
         }
     }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/telemetry/BurnRecorder.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/telemetry/BurnRecorder.kt
@@ -1,7 +1,8 @@
 /**
  * Service-level burn per workspace: how many requests were on time, late or failed, and how long they took.
  *
- * Each workspace has a ring of one-minute buckets, from which windows of any length up to an hour are added up. Histograms of
+ * Each workspace has a ring of one-minute buckets, from which windows of any length up to an hour are added up.
+ * Histograms of
  * several entries can be merged.
  */
 package org.jujubelead.runtime.telemetry
@@ -23,7 +24,12 @@
 public enum class ServiceLevel { ON_TIME, LATE, FAILED }
 
 /** Sum of a window. [latency] is the time to the first token, or to the answer of a plain call, in milliseconds. */
-public class BurnSum(public val total: Long, public val late: Long, public val failed: Long, public val latency: Histogram)
+public class BurnSum(
+    public val total: Long,
+    public val late: Long,
+    public val failed: Long,
+    public val latency: Histogram,
+)
 
 /** Thread-safe. */
 public class BurnRecorder(private val now: () -> Timestamp) {
