Drain for maintenance windows, report burn, and start retry budgets full

Cause: a model stream whose agent was killed after 83 of 144 tokens ended with outcome-unknown: the retry budget of a quiet entry was empty, so the stream could not move. Seen in a run with two agents and kill -9 of one. Ruled out: the silence deadline and the resume (the trace shows the attempt as lost within a second of the kill). Conclusion: budgets bound retries by ratio plus a fixed reserve.

--- a/cli/src/main/kotlin/org/jujubelead/cli/Main.kt
+++ b/cli/src/main/kotlin/org/jujubelead/cli/Main.kt
@@ -1,6 +1,7 @@
 /** Entry point of the binary: finds the subcommand, parses its options, and turns wrong use into exit code 2. */
 package org.jujubelead.cli
 
+import org.jujubelead.cli.fleet.BurnCommand
 import org.jujubelead.cli.fleet.ExplainCommand
 import org.jujubelead.cli.fleet.StatusCommand
 import org.jujubelead.cli.roles.AgentCommand
@@ -69,6 +70,7 @@
     CommandEntry(name = "agent", summary = "run an agent beside a target", create = ::AgentCommand),
     CommandEntry(name = "status", summary = "show the fleet at a glance", create = ::StatusCommand),
     CommandEntry(name = "explain", summary = "show where a request went, and why", create = ::ExplainCommand),
+    CommandEntry(name = "report burn", summary = "show service-level burn per workspace", create = ::BurnCommand),
     CommandEntry(name = "settings apply", summary = "get a file of settings accepted", create = ::SettingsApply),
 )
 
--- a/core/src/main/kotlin/org/jujubelead/core/retry/RetryBudget.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/retry/RetryBudget.kt
@@ -1,9 +1,10 @@
 /**
  * How many retries an entry may make, per workspace and in total.
  *
- * Every request adds a part of a token to both buckets, and a retry takes one token from both. Buckets start empty and
- * are bounded, so retries never exceed the ratio over the life of the process, nor the ratio plus the bound over any
- * time. Mutable; owned by the control thread.
+ * Every request adds a part of a token to both buckets, and a retry takes one token from both. Buckets are bounded and
+ * start full, so retries never exceed the ratio plus the bound over any time. With empty buckets the first failure of a
+ * quiet deployment could not be retried, and a model stream could not move to another target. Mutable; owned by the
+ * control thread.
  */
 package org.jujubelead.core.retry
 
@@ -22,7 +23,7 @@
     private val totalBound: Double = 50.0,
     private val workspaceBound: Double = 10.0,
 ) {
-    private var total = 0.0
+    private var total = totalBound
     private val workspaces = object : LinkedHashMap<WorkspaceId, Double>(INITIAL_SIZE, LOAD_FACTOR, true) {
         override fun removeEldestEntry(eldest: Map.Entry<WorkspaceId, Double>): Boolean = size > MOST_WORKSPACES
     }
@@ -39,12 +40,13 @@
     public fun requestStarted(workspace: WorkspaceId) {
         requests++
         total = (total + totalRatio).coerceAtMost(totalBound)
-        workspaces[workspace] = ((workspaces[workspace] ?: 0.0) + workspaceRatio).coerceAtMost(workspaceBound)
+        workspaces[workspace] =
+            ((workspaces[workspace] ?: workspaceBound) + workspaceRatio).coerceAtMost(workspaceBound)
     }
 
     /** Takes a token for one retry; false when there is none. */
     public fun tryTake(workspace: WorkspaceId): Boolean {
-        val own = workspaces[workspace] ?: 0.0
+        val own = workspaces[workspace] ?: workspaceBound
         if (total < ONE || own < ONE) return false
         total -= 1
         workspaces[workspace] = own - 1
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
@@ -37,6 +37,7 @@
     public val capacity: Int,
     private val target: TargetRunner,
     private val traffic: CoroutineScope,
+    private val durations: WorkDurations = WorkDurations(),
 ) {
     private class Work(val stream: AttemptStream, val cancellable: Boolean, val job: Job)
 
@@ -80,6 +81,12 @@
         return stream
     }
 
+    private suspend fun work(request: ExecuteRequest, stream: AttemptStream) {
+        val start = control.now()
+        target.run(request, stream, this)
+        durations.record(control.now() - start)
+    }
+
     /** Asks the ledger whether the attempt may be handed over now. */
     internal suspend fun handOver(attempt: AttemptId): Boolean = control.run { now -> ledger.handOver(attempt, now) }
 
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
@@ -2,16 +2,15 @@
 package org.jujubelead.runtime.entry
 
 import arrow.fx.coroutines.resourceScope
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.jujubelead.core.membership.InstanceRole
-import org.jujubelead.core.membership.InstanceState
 import org.jujubelead.protocol.ProcessSettings
 import org.jujubelead.runtime.process.ProcessContext
 import org.jujubelead.runtime.process.StopSignal
-import org.jujubelead.runtime.process.announceUntilTaken
 import org.jujubelead.runtime.process.followSettings
+import org.jujubelead.runtime.process.newIncarnation
 import org.jujubelead.runtime.process.processContext
 import org.jujubelead.runtime.process.startHttp
 import org.jujubelead.runtime.process.stopGracefully
@@ -32,11 +31,12 @@
 /** Runs an entry; returns after a drain. */
 public suspend fun runEntry(settings: ProcessSettings): Unit = resourceScope {
     val context = processContext(settings)
+    val incarnation = newIncarnation()
     val state = EntryState(
         instance = context.instance,
         zone = context.zone,
         control = context.control,
-        seed = context.incarnation.value.hashCode().toLong(),
+        seed = incarnation.value.hashCode().toLong(),
         scope = context.scope,
     )
     val channels = install({ TargetChannels(context.transport) }) { resource, _ -> resource.close() }
@@ -68,12 +68,12 @@
             context.metrics.settingsRevision.set(snapshot.revision.value.toDouble())
         }
     }
-    context.scope.launch {
-        context.directory.announceUntilTaken(context.record(InstanceRole.ENTRY, InstanceState.LIVE))
-    }
+    val presence = EntryPresence(context, state, incarnation)
     Event.PROCESS_STARTED.log("role=entry instance=${context.instance} listen=${context.listen} http=${context.http}")
+    val maintenance = context.scope.launch { presence.followMaintenance() }
     signal.requested.await()
-    drain(context, services)
+    maintenance.cancelAndJoin()
+    drain(context, services, presence)
     http.stopGracefully()
     Event.PROCESS_STOPPED.log("instance=${context.instance}")
 }
@@ -85,13 +85,10 @@
 }
 
 /** New requests are refused; open ones end whole, at most until the drain limit of the zone. */
-private suspend fun drain(context: ProcessContext, services: EntryServices) {
+private suspend fun drain(context: ProcessContext, services: EntryServices, presence: EntryPresence) {
     val state = services.state
-    state.draining = true
     Event.DRAIN_STARTED.log("instance=${context.instance} open=${services.inProgress}")
-    context.scope.launch {
-        context.directory.announceUntilTaken(context.record(InstanceRole.ENTRY, InstanceState.LEAVING))
-    }
+    presence.leave()
     val limit = state.settings?.forZone(state.zone)?.drainLimitS?.seconds ?: Duration.ZERO
     delay(UNREADY_NOTICE)
     val idle = withTimeoutOrNull(limit) {
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/process/ProcessContext.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/process/ProcessContext.kt
@@ -40,10 +40,13 @@
 ) {
     public val instance: InstanceId = InstanceId(settings.instance)
     public val zone: ZoneId = ZoneId(settings.zone)
-    public val incarnation: Incarnation = Incarnation(UUID.randomUUID().toString())
 
-    /** The record by which this process is listed. */
-    public fun record(role: InstanceRole, state: InstanceState): InstanceRecord = InstanceRecord(
+    /** The record by which [incarnation] of this process is listed. */
+    public fun record(
+        role: InstanceRole,
+        incarnation: Incarnation,
+        state: InstanceState,
+    ): InstanceRecord = InstanceRecord(
         id = instance,
         incarnation = incarnation,
         zone = zone,
@@ -54,6 +57,9 @@
     )
 }
 
+/** Names a new life of this process, or of its service after a maintenance window. */
+public fun newIncarnation(): Incarnation = Incarnation(UUID.randomUUID().toString())
+
 /** Opens what the process needs; everything is released with the scope. */
 public suspend fun ResourceScope.processContext(settings: ProcessSettings): ProcessContext {
     val listen = address("listen", settings.listen)
