--- /dev/null
+++ b/bench/src/main/kotlin/org/jujubelead/bench/prove/TcpRelay.kt
@@ -0,0 +1,109 @@
+/**
+ * A TCP relay on loopback with injected faults: cut, silent freeze of open connections, delay, and refusal.
+ *
+ * A frozen connection stays open and carries nothing more, while new connections work.
+ */
+package org.jujubelead.bench.prove
+
+import java.io.IOException
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.concurrent.thread
+
+private const val BUFFER_BYTES = 16 * 1024
+private const val BACKLOG = 128
+private const val CONNECT_TIMEOUT_MS = 1_000
+private const val STACK_BYTES = 128L * 1024
+
+/** The relay; it accepts at [port] and connects to [targetPort], which can change when the target is replaced. */
+public class TcpRelay(@Volatile public var targetPort: Int) : AutoCloseable {
+    private class Link(val near: Socket, val far: Socket) {
+        @Volatile
+        var frozen = false
+
+        fun close() {
+            near.close()
+            far.close()
+        }
+    }
+
+    private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+    private val links = ConcurrentHashMap.newKeySet<Link>()
+
+    /** Port to connect to. */
+    public val port: Int = server.localPort
+
+    /** Delay of each chunk in each direction. */
+    @Volatile
+    public var delayMs: Long = 0
+
+    /** True while new connections are closed at once. */
+    @Volatile
+    public var refusing: Boolean = false
+
+    init {
+        thread(isDaemon = true, name = "relay-$port") { acceptAll() }
+    }
+
+    /** Closes all open connections. */
+    public fun cut(): Unit = links.forEach { it.close() }
+
+    /** Silences all open connections for good. New ones work. */
+    public fun freeze(): Unit = links.forEach { it.frozen = true }
+
+    override fun close() {
+        server.close()
+        cut()
+    }
+
+    private fun acceptAll() {
+        while (!server.isClosed) {
+            val near = try {
+                server.accept()
+            } catch (_: IOException) {
+                return
+            }
+            if (refusing) near.close() else start("relay-$port-open") { open(near) }
+        }
+    }
+
+    private fun open(near: Socket) {
+        val far = Socket()
+        try {
+            far.connect(InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort), CONNECT_TIMEOUT_MS)
+        } catch (_: IOException) {
+            near.close()
+            return
+        }
+        near.tcpNoDelay = true
+        far.tcpNoDelay = true
+        val link = Link(near, far)
+        links += link
+        start("relay-$port-back") { copy(link, far, near) }
+        copy(link, near, far)
+    }
+
+    private fun copy(link: Link, from: Socket, to: Socket) {
+        val buffer = ByteArray(BUFFER_BYTES)
+        try {
+            while (true) {
+                val count = from.getInputStream().read(buffer)
+                if (count < 0) break
+                if (delayMs > 0) Thread.sleep(delayMs)
+                if (!link.frozen) to.getOutputStream().write(buffer, 0, count)
+            }
+        } catch (_: IOException) {
+            // One side closed the connection; the other one is closed below.
+        }
+        // The other side of a frozen connection does not learn that this one has gone.
+        if (!link.frozen) link.close()
+        links -= link
+    }
+
+    private fun start(name: String, body: () -> Unit) {
+        Thread(null, body, name, STACK_BYTES).apply { isDaemon = true }.start()
+    }
+}
--- /dev/null
+++ b/bench/src/test/kotlin/org/jujubelead/bench/prove/TcpRelayTest.kt
@@ -0,0 +1,60 @@
+package org.jujubelead.bench.prove
+
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertThrows
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketTimeoutException
+import kotlin.concurrent.thread
+
+class TcpRelayTest {
+    private val server = ServerSocket(0, 10, InetAddress.getLoopbackAddress())
+    private val relay = TcpRelay(server.localPort)
+
+    init {
+        thread(isDaemon = true) {
+            while (true) {
+                val socket = runCatching { server.accept() }.getOrNull() ?: break
+                thread(isDaemon = true) { runCatching { socket.getInputStream().copyTo(socket.getOutputStream(), 1) } }
+            }
+        }
+    }
+
+    @AfterEach
+    fun stop() {
+        relay.close()
+        server.close()
+    }
+
+    private fun connect() = Socket(InetAddress.getLoopbackAddress(), relay.port).apply { soTimeout = 500 }
+
+    private fun Socket.echo(value: Int): Int {
+        getOutputStream().write(value)
+        return getInputStream().read()
+    }
+
+    /** Guards against a freeze that closes the connection, or that also stops new ones. */
+    @Test
+    fun `a frozen connection is silent while new ones work`() {
+        val old = connect()
+        expectThat(old.echo(7)).isEqualTo(7)
+        relay.freeze()
+        assertThrows<SocketTimeoutException> { old.echo(8) }
+        expectThat(connect().echo(9)).isEqualTo(9)
+    }
+
+    /** Guards against a cut or a refusal that leaves the caller waiting. */
+    @Test
+    fun `cut and refused connections end`() {
+        val old = connect()
+        expectThat(old.echo(7)).isEqualTo(7)
+        relay.cut()
+        expectThat(runCatching { old.getInputStream().read() }.getOrDefault(-1)).isEqualTo(-1)
+        relay.refusing = true
+        expectThat(runCatching { connect().getInputStream().read() }.getOrDefault(-1)).isEqualTo(-1)
+    }
+}
--- a/standins/src/main/kotlin/org/jujubelead/standins/DirectoryHttp.kt
+++ b/standins/src/main/kotlin/org/jujubelead/standins/DirectoryHttp.kt
@@ -1,6 +1,7 @@
 /**
  * The instance list over HTTP, with faults: `PUT /_control/directory` sets lag, freeze and outage;
- * `POST /_control/leaving?id=I` and `POST /_control/remove?id=I` change one instance.
+ * `POST /_control/leaving?id=I` and `POST /_control/remove?id=I` change one instance; `POST /_control/reroute?id=I&port=P`
+ * lists it at a relay.
  */
 package org.jujubelead.standins
 
@@ -46,6 +47,10 @@
                 val known = service.markLeaving(InstanceId(call.required("id")), System.currentTimeMillis())
                 call.respond(if (known) HttpStatusCode.NoContent else HttpStatusCode.NotFound)
             }
+            post("/_control/reroute") {
+                service.reroute(InstanceId(call.required("id")), call.required("port").toInt())
+                done()
+            }
             post("/_control/remove") {
                 service.remove(InstanceId(call.required("id")), System.currentTimeMillis())
                 done()
--- a/standins/src/main/kotlin/org/jujubelead/standins/DirectoryService.kt
+++ b/standins/src/main/kotlin/org/jujubelead/standins/DirectoryService.kt
@@ -24,6 +24,7 @@
     private val visible = TreeMap<String, InstanceRecord>()
     private val pending = ArrayDeque<Change>()
     private val markedLeaving = HashSet<String>()
+    private val ports = HashMap<String, Int>()
 
     /** Age of the list. */
     @get:Synchronized
@@ -66,7 +67,13 @@
             val change = pending.removeFirst()
             if (change.record == null) visible.remove(change.id) else visible[change.id] = change.record
         }
-        return visible.values.toList()
+        return visible.values.map { record -> record.copy(port = ports[record.id.value] ?: record.port) }
+    }
+
+    /** Lists an instance with another port, where a relay with injected faults stands before it. */
+    @Synchronized
+    public fun reroute(id: InstanceId, port: Int) {
+        ports[id.value] = port
     }
 
     private fun change(id: InstanceId, record: InstanceRecord?, nowMillis: Long) {
--- a/standins/src/main/kotlin/org/jujubelead/standins/EngineHttp.kt
+++ b/standins/src/main/kotlin/org/jujubelead/standins/EngineHttp.kt
@@ -45,6 +45,7 @@
             }
             installOrders()
             control("/_control/engine", read = { service.faults }, write = { service.faults = it })
+            get("/_executions") { call.respondJson(service.starts(call.parameter("skip")?.toInt() ?: 0)) }
             get("/_control/counts") { call.respondJson(service.counts()) }
         }
     }
--- a/standins/src/main/kotlin/org/jujubelead/standins/EngineService.kt
+++ b/standins/src/main/kotlin/org/jujubelead/standins/EngineService.kt
@@ -59,12 +59,17 @@
 @Serializable
 public data class EngineCountBody(val started: Long, val finished: Long, val running: Int, val waiting: Int)
 
+/** One start of a generation in a slot. */
+@Serializable
+public data class GenerationStartBody(val attempt: String, val prompt: String, val delivered: Int, val atMillis: Long)
+
 private const val CACHED_FIRST_TOKEN_SHARE = 0.2
 private val stallPoll = 20.milliseconds
 
 /** The engine. */
 public class EngineService(
     public val profile: EngineProfile = EngineProfile(),
+    private val journal: Journal = Journal(),
     private val nowMillis: () -> Long = System::currentTimeMillis,
 ) {
     private class Waiter(val priority: Int, val order: Long, val turn: CompletableDeferred<Unit>)
@@ -79,6 +84,7 @@
         nowMillis = nowMillis,
     )
     private val streams = HashMap<String, CacheExport>()
+    private val starts = ArrayList<GenerationStartBody>()
     private var model = ModelId(profile.model)
     private var highestFence = Fence(0)
     private val queue = PriorityQueue(compareByDescending<Waiter> { it.priority }.thenBy { it.order })
@@ -101,6 +107,7 @@
         takeSlot(request.priority)
         try {
             val known = request.prompt + request.delivered.joinToString("")
+            started(request)
             keep(request, known)
             val cached = prefixes.use(known)
             pause(profile.firstToken * (1 - cached * (1 - CACHED_FIRST_TOKEN_SHARE)))
@@ -155,6 +162,17 @@
     /** Cache events after [sequence], late and with gaps. */
     public fun cacheEvents(sequence: Long): List<CacheEvent> = prefixes.events(sequence)
 
+    @Synchronized
+    private fun started(request: GenerationRequest) {
+        val start = GenerationStartBody(request.attempt.value, request.prompt, request.delivered.size, nowMillis())
+        starts += start
+        journal.append(wireJson.encodeToString(start))
+    }
+
+    /** All starts since the first, numbered from 0, without the first [skip]. */
+    @Synchronized
+    public fun starts(skip: Int): List<GenerationStartBody> = starts.drop(skip)
+
     @Synchronized
     private fun keep(request: GenerationRequest, text: String) {
         streams[request.attempt.value] = CacheExport(request.attempt, request.model, text)
--- a/standins/src/main/kotlin/org/jujubelead/standins/Main.kt
+++ b/standins/src/main/kotlin/org/jujubelead/standins/Main.kt
@@ -4,6 +4,7 @@
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
 import org.kohsuke.args4j.Option
+import java.io.File
 import kotlin.system.exitProcess
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -41,6 +42,9 @@
     @field:Option(name = "--ignores-fences", usage = "engine: takes orders with an old fencing number")
     public var ignoresFences: Boolean = false
 
+    @field:Option(name = "--journal", usage = "engine, service: file to which executions are appended")
+    public var journal: File? = null
+
     @field:Option(name = "--name", usage = "service: name")
     public var name: String = "service"
 }
@@ -58,8 +62,8 @@
         "kv" -> listOf(keyValue())
         "directory" -> listOf(directory())
         "platform" -> listOf(keyValue(), directory())
-        "engine" -> listOf(EngineHttp(EngineService(engineProfile(options))))
-        "service" -> listOf(ServiceHttp(name = options.name, seed = options.seed))
+        "engine" -> listOf(EngineHttp(EngineService(engineProfile(options), Journal(options.journal))))
+        "service" -> listOf(ServiceHttp(name = options.name, seed = options.seed, journal = Journal(options.journal)))
         else -> null
     }
 }
--- a/standins/src/main/kotlin/org/jujubelead/standins/ServiceHttp.kt
+++ b/standins/src/main/kotlin/org/jujubelead/standins/ServiceHttp.kt
@@ -52,10 +52,20 @@
 
 /** The answer to an executed call. */
 @Serializable
-public data class ServiceAnswerBody(val service: String, val sequence: Int, val requestId: String?, val body: String)
+public data class ServiceAnswerBody(
+    val service: String,
+    val sequence: Int,
+    val requestId: String? = null,
+    val path: String,
+    val body: String,
+)
 
 /** The HTTP interface. */
-public class ServiceHttp(private val name: String, seed: Long = 1) : HttpModule {
+public class ServiceHttp(
+    private val name: String,
+    seed: Long = 1,
+    private val journal: Journal = Journal(),
+) : HttpModule {
     private val executions = ArrayList<ExecutionBody>()
     private val random = Random(seed)
 
@@ -65,7 +75,10 @@
     override fun install(route: Route) {
         with(route) {
             control("/_control/service", read = { faults }, write = { faults = it })
-            get("/_executions") { call.respondJson(synchronized(executions) { executions.toList() }) }
+            get("/_executions") {
+                val skip = call.parameter("skip")?.toInt() ?: 0
+                call.respondJson(synchronized(executions) { executions.drop(skip) })
+            }
             route("{path...}") { handle { serve(call) } }
         }
     }
@@ -89,6 +102,7 @@
                     service = name,
                     sequence = execution.sequence,
                     requestId = execution.requestId,
+                    path = execution.path,
                     body = body,
                 ),
             )
@@ -107,6 +121,7 @@
             atMillis = System.currentTimeMillis(),
         )
         executions += execution
+        journal.append(wireJson.encodeToString(execution))
         execution
     }
 }
--- a/standins/src/test/kotlin/org/jujubelead/standins/EngineServiceTest.kt
+++ b/standins/src/test/kotlin/org/jujubelead/standins/EngineServiceTest.kt
@@ -32,7 +32,9 @@
     private fun request(id: String, prompt: String = "p", priority: Int = 0, delivered: List<String> = emptyList()) =
         GenerationRequest(AttemptId(id), ModelId("chat"), prompt, 10, seed = 1, priority, delivered)
 
-    private fun TestScope.engine(profile: EngineProfile = EngineProfile()) = EngineService(profile) { currentTime }
+    private fun TestScope.engine(profile: EngineProfile = EngineProfile()) = EngineService(profile, nowMillis = {
+        currentTime
+    })
 
     /** Guards against a queue that ignores priorities, and against more running than the capacity. */
     @Test
