--- a/settings/src/main/kotlin/org/jujubelead/settings/SettingsLayout.kt
+++ b/settings/src/main/kotlin/org/jujubelead/settings/SettingsLayout.kt
@@ -13,6 +13,7 @@
 import org.jujubelead.protocol.SettingsTree
 import java.io.ByteArrayOutputStream
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /**
  * Buckets of workspaces. A change costs a relay the root (some 45 bytes a bucket) and one bucket; with 3,400 workspaces
@@ -88,7 +89,7 @@
     MessageDigest.getInstance("SHA-256").digest(bytes),
 )
 
-internal fun ByteString.hex(): String = toByteArray().joinToString("") { "%02x".format(it) }
+internal fun ByteString.hex(): String = HexFormat.of().formatHex(toByteArray())
 
 /** Name of a branch between processes and, below [BRANCH_PREFIX], in the key-value service. */
 internal val BranchRef.id: String get() = "${sha256.hex()}-$revision"
--- a/settings/src/main/kotlin/org/jujubelead/settings/SettingsStore.kt
+++ b/settings/src/main/kotlin/org/jujubelead/settings/SettingsStore.kt
@@ -15,6 +15,9 @@
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapError
 import com.google.protobuf.InvalidProtocolBufferException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import org.jujubelead.core.ids.OperationId
 import org.jujubelead.core.ids.Revision
 import org.jujubelead.platform.KeyValueError
@@ -58,6 +61,12 @@
 /** Deletes of one change beyond which pruning is left to the next change. */
 private const val PRUNED_PER_CHANGE = 3
 
+/**
+ * Branches read at the same time. One after the other, a service that takes 400 ms for an answer used up the 4 s of a
+ * change of ten branches.
+ */
+private const val PARALLEL_READS = 16
+
 /** Attempts to get a change accepted while others are accepted first. */
 private const val MAX_ATTEMPTS = 12
 
@@ -75,12 +84,17 @@
     public suspend fun readBranches(
         refs: Collection<BranchRef>,
     ): Result<Map<BranchRef, SettingsTree>, SettingsStoreError> = resultOf {
-        refs.associateWith { ref ->
-            val value = readOnce(BRANCH_PREFIX + ref.id).bind()
-            val bytes = value?.bytes ?: raise(SettingsStoreError.Corrupt("branch ${ref.id} does not exist"))
-            if (sha256(bytes) != ref.sha256) raise(SettingsStoreError.Corrupt("branch ${ref.id} has another hash"))
-            decode(BRANCH_PREFIX + ref.id) { SettingsTree.parseFrom(bytes) }.bind()
-        }
+        refs.chunked(PARALLEL_READS).flatMap { some ->
+            val read = coroutineScope { some.map { async { readBranch(it) } }.awaitAll() }
+            some.zip(read.map { it.bind() })
+        }.toMap()
+    }
+
+    private suspend fun readBranch(ref: BranchRef): Result<SettingsTree, SettingsStoreError> = resultOf {
+        val bytes = readOnce(BRANCH_PREFIX + ref.id).bind()?.bytes
+            ?: raise(SettingsStoreError.Corrupt("branch ${ref.id} does not exist"))
+        if (sha256(bytes) != ref.sha256) raise(SettingsStoreError.Corrupt("branch ${ref.id} has another hash"))
+        decode(BRANCH_PREFIX + ref.id) { SettingsTree.parseFrom(bytes) }.bind()
     }
 
     /** Reads the accepted settings; null before the first ones. */
--- a/settings/src/main/kotlin/org/jujubelead/settings/SettingsWriter.kt
+++ b/settings/src/main/kotlin/org/jujubelead/settings/SettingsWriter.kt
@@ -111,16 +111,20 @@
 
     /** Finds the revision of this edit's operation, in [newest] or in records back to the edit's base. */
     private suspend fun accepted(newest: SettingsRoot): Result<Revision?, SettingsStoreError> = resultOf {
-        val oldest = edit.base?.value ?: 0L
+        val base = edit.base?.value ?: 0L
         var root = newest
         var found = find(root)
-        while (found == null && root.recentList.last().revision > maxOf(oldest + 1, 1L)) {
-            root = store.rootOf(Revision(root.recentList.last().revision - 1)).bind()
+        var older = oldestListed(root) - 1
+        while (found == null && older > base) {
+            root = store.rootOf(Revision(older)).bind()
             found = find(root)
+            older = oldestListed(root) - 1
         }
         found
     }
 
+    private fun oldestListed(root: SettingsRoot): Long = root.recentList.lastOrNull()?.revision ?: 0L
+
     private fun find(root: SettingsRoot): Revision? =
         root.recentList.firstOrNull { it.operationId == edit.operation.value }?.let { Revision(it.revision) }
 
--- /dev/null
+++ b/settings/src/test/kotlin/org/jujubelead/settings/RelaySelectionTest.kt
@@ -0,0 +1,59 @@
+package org.jujubelead.settings
+
+import org.jujubelead.core.ids.ZoneId
+import org.jujubelead.core.membership.InstanceRole
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+
+class RelaySelectionTest {
+    private val zone = ZoneId("zone-a")
+    private val entries = List(117) { record("e$it", zone) }
+    private val agents = List(575) { record("a$it", zone, InstanceRole.AGENT) }
+
+    /** Guards against an entry that has to send every change to hundreds of subscribers. */
+    @Test
+    fun `subscribers are spread over the entries of a zone`() {
+        val selection = RelaySelection(entries + agents)
+        val ofEntries = entries.flatMap { selection.upstreams(it) }.groupingBy { it.id }.eachCount()
+        val ofAgents = agents.flatMap { selection.upstreams(it) }.groupingBy { it.id }.eachCount()
+        expectThat(ofEntries.values.max()).isLessThanOrEqualTo(SUBSCRIBERS_PER_ENTRY)
+        expectThat(ofAgents.values.max()).isLessThanOrEqualTo(3 * 2 * agents.size / entries.size)
+        expectThat(agents.map { selection.upstreams(it).toSet() }).all { hasSize(2) }
+    }
+
+    /** Guards against a process that no chain of subscriptions connects with a relay. */
+    @Test
+    fun `every process is below a relay within four steps`() {
+        val selection = RelaySelection(entries + agents)
+        var reached = selection.relays(zone).toSet()
+        repeat(4) {
+            reached = reached + (entries + agents).filter { p -> selection.upstreams(p).any { it in reached } }
+        }
+        expectThat(reached.size).isEqualTo(entries.size + agents.size)
+    }
+
+    /** Guards against small zones where subscribers are not connected with two relays. */
+    @Test
+    fun `in a small zone all subscribe to two relays`() {
+        val few = entries.take(4) + agents.take(8)
+        val selection = RelaySelection(few)
+        val relays = selection.relays(zone)
+        expectThat(relays).hasSize(3)
+        expectThat(few.filter { it !in relays }.map { p -> selection.upstreams(p).count { it in relays } })
+            .all { isEqualTo(2) }
+        expectThat(relays.flatMap { selection.upstreams(it) }).isEmpty()
+    }
+
+    /** Guards against a choice that changes everywhere when one instance comes or goes. */
+    @Test
+    fun `the loss of an instance leaves the other relays in place`() {
+        val before = RelaySelection(entries).relays(zone)
+        val after = RelaySelection(entries - before[0]).relays(zone)
+        expectThat(after.take(2)).isEqualTo(before.drop(1))
+    }
+}
--- /dev/null
+++ b/settings/src/test/kotlin/org/jujubelead/settings/SimulatedFleet.kt
@@ -0,0 +1,298 @@
+package org.jujubelead.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.filterNotNull
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import org.jujubelead.core.ids.Incarnation
+import org.jujubelead.core.ids.InstanceId
+import org.jujubelead.core.ids.OperationId
+import org.jujubelead.core.ids.Revision
+import org.jujubelead.core.ids.ZoneId
+import org.jujubelead.core.membership.InstanceRecord
+import org.jujubelead.core.membership.InstanceRole
+import org.jujubelead.platform.KeyValueStore
+import org.jujubelead.protocol.BranchReply
+import org.jujubelead.protocol.BranchRequest
+import org.jujubelead.protocol.Digest
+import org.jujubelead.protocol.SettingsUpdate
+import org.jujubelead.protocol.SubscribeRequest
+import org.jujubelead.standins.InMemoryKeyValueStore
+import org.jujubelead.standins.KeyValueFaults
+import org.jujubelead.standins.KeyValueService
+import java.time.Instant
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Parts of the mechanism that a test switches off, to see that the checker fails without them. */
+internal class Mechanism(
+    val times: DistributionTimes = DistributionTimes(),
+    val rule: AdoptionRule = AdoptionRule.HIGHER_ONLY,
+    val operatorStore: (KeyValueStore) -> KeyValueStore = { it },
+)
+
+internal fun record(id: String, zone: ZoneId, role: InstanceRole = InstanceRole.ENTRY) = InstanceRecord(
+    id = InstanceId(id),
+    incarnation = Incarnation("1"),
+    zone = zone,
+    role = role,
+    host = "127.0.0.1",
+    port = 1,
+)
+
+private const val ENTRIES_PER_ZONE = 4
+private val editedFields = listOf("workspaces/acme/priority", "defaults/priority", "zones/zone-a/drain_lead_s")
+
+/** Processes of three zones on one key-value service, in virtual time, with faults drawn from [seed]. */
+internal class SimulatedFleet(private val scope: TestScope, seed: Long, private val mechanism: Mechanism) {
+    private class Process(
+        val name: String,
+        val record: InstanceRecord,
+        val distributor: SettingsDistributor,
+        val job: Job,
+    )
+
+    private val random = Random(seed)
+    private val zones = List(3) { ZoneId("zone-$it") }
+    private val service = KeyValueService()
+    private val events = ArrayList<SettingsEvent>()
+    private val running = LinkedHashMap<InstanceId, Process>()
+    private val instances = MutableStateFlow<List<InstanceRecord>>(emptyList())
+    private val zoneFaults = zones.associateWith { KeyValueFaults() }
+    private val operatorFaults = KeyValueFaults(lostAnswers = 0.3, lateWrites = 0.2, lateBy = 900.milliseconds)
+    private val cutOff = ArrayList<ZoneId>()
+    private val withoutService = ArrayList<ZoneId>()
+    private val silent = HashSet<Pair<InstanceId, InstanceId>>()
+    private val withoutPath = HashSet<ZoneId>()
+    private val ids = zones.flatMap { zone ->
+        List(ENTRIES_PER_ZONE) { record("$zone-e$it", zone) } + record("$zone-a", zone, InstanceRole.AGENT)
+    }
+    private var lives = 0
+
+    private fun keyValueStore(faults: KeyValueFaults) =
+        InMemoryKeyValueStore(service, { scope.currentTime }, faults, Random(random.nextLong())) { wait, action ->
+            scope.backgroundScope.launch {
+                delay(wait)
+                action()
+            }
+        }
+
+    // Processes
+
+    private fun start(record: InstanceRecord) {
+        lives += 1
+        val name = "${record.id}#$lives"
+        val distributor = SettingsDistributor(
+            self = record,
+            kv = keyValueStore(zoneFaults.getValue(record.zone)),
+            peers = Network(record),
+            instances = instances,
+            random = Random(random.nextLong()),
+            times = mechanism.times,
+            rule = mechanism.rule,
+        )
+        events += SettingsEvent.Started(scope.currentTime, name)
+        if (record.zone in withoutPath) events += SettingsEvent.PathLost(scope.currentTime, name)
+        val job = scope.backgroundScope.launch {
+            launch {
+                distributor.settings.filterNotNull().collect {
+                    events += SettingsEvent.InForce(scope.currentTime, name, it.revision)
+                }
+            }
+            distributor.run()
+        }
+        running[record.id] = Process(name, record, distributor, job)
+    }
+
+    private fun stop(id: InstanceId) {
+        val process = running.remove(id) ?: return
+        process.job.cancel()
+        events += SettingsEvent.Stopped(scope.currentTime, process.name)
+    }
+
+    /** The instance list lags behind by up to three seconds. */
+    private fun updateList() = scope.backgroundScope.launch {
+        delay(random.nextLong(500, 3_000))
+        instances.value = ids.filter { it.id in running }
+    }
+
+    private fun connected(a: ZoneId, b: ZoneId) = a == b || (a !in cutOff && b !in cutOff)
+
+    /** Peers as [self] reaches them. */
+    private inner class Network(private val self: InstanceRecord) : SettingsPeers {
+        private fun reach(peer: InstanceRecord): Process? = running[peer.id]?.takeIf { connected(self.zone, peer.zone) }
+
+        /** Most messages take a millisecond or two; some are late, so that others overtake them. */
+        private suspend fun travel() = delay(
+            if (random.nextInt(20) ==
+                0
+            ) {
+                random.nextLong(400)
+            } else {
+                random.nextLong(1, 3)
+            },
+        )
+
+        override fun subscribe(peer: InstanceRecord, request: SubscribeRequest): Flow<SettingsUpdate> = flow {
+            travel()
+            val server = reach(peer) ?: return@flow
+            silent -= self.id to peer.id
+            val updates = Channel<SettingsUpdate>(Channel.UNLIMITED)
+            val job = scope.backgroundScope.launch {
+                server.distributor.server.subscribe(request).collect {
+                    if (self.id to peer.id !in
+                        silent
+                    ) {
+                        updates.send(it)
+                    }
+                }
+            }
+            val end = server.job.invokeOnCompletion { updates.close() }
+            try {
+                for (update in updates) {
+                    travel()
+                    if (reach(peer) !== server) return@flow
+                    emit(update)
+                }
+            } finally {
+                job.cancel()
+                end.dispose()
+            }
+        }
+
+        private suspend fun <T> call(peer: InstanceRecord, answer: (SettingsServer) -> T): Result<T, SettingsPeerError> {
+            travel()
+            val server = reach(peer) ?: return Err(SettingsPeerError.Unreachable("down"))
+            val reply = answer(server.distributor.server)
+            travel()
+            return if (reach(peer) === server) Ok(reply) else Err(SettingsPeerError.Unreachable("down"))
+        }
+
+        override suspend fun exchangeDigest(peer: InstanceRecord, digest: Digest) = call(peer) {
+            it.exchangeDigest(digest)
+        }
+
+        override suspend fun fetchBranches(peer: InstanceRecord, request: BranchRequest): Result<BranchReply, SettingsPeerError> =
+            call(peer) { it.fetchBranches(request) }
+    }
+
+    // Operators
+
+    private suspend fun operate(name: String) {
+        val kv = mechanism.operatorStore(keyValueStore(operatorFaults))
+        val store = SettingsStore(kv, Random(random.nextLong()), kept = 30)
+        repeat(6) { n ->
+            delay(random.nextLong(200, 4_500))
+            val operation = OperationId("$name-$n")
+            val current = store.read().getOrElse { return@repeat }
+            // Long enough for the other operator to be accepted in between.
+            delay(random.nextLong(0, 1_500))
+            val field = listOf(
+                "workspaces/acme/priority",
+                "defaults/priority",
+                "zones/zone-a/drain_lead_s",
+            ).random(random)
+            val next =
+                flatten(current?.tree ?: tree()) + (SettingsPath(field) to FieldValue.Scalar(random.nextInt(1_000)))
+            val outcome = store.apply(edit(operation.value, current?.revision?.value, unflatten(next))).fold(
+                { if (it.changed) ReportedOutcome.Accepted(it.revision) else ReportedOutcome.Refused },
+                { if (it is SettingsStoreError.OutcomeUnknown) ReportedOutcome.Unknown else ReportedOutcome.Refused },
+            )
+            events += SettingsEvent.Reported(scope.currentTime, operation, outcome)
+        }
+    }
+
+    // Faults
+
+    private suspend fun disturb() {
+        delay(random.nextLong(1_000, 15_000))
+        when (random.nextInt(6)) {
+            0 -> span(15_000, zones, withoutService)
+
+            1 -> killSome()
+
+            2 -> span(12_000, listOf(zones.random(random)), cutOff)
+
+            3 -> span(12_000, listOf(zones.random(random)), withoutService)
+
+            4 -> ids.forEach { a -> ids.forEach { b -> if (random.nextInt(3) == 0) silent += a.id to b.id } }
+
+            5 -> {
+                zoneFaults.values.forEach { it.latency = 400.milliseconds }
+                delay(random.nextLong(500, 12_000))
+                zoneFaults.values.forEach { it.latency = 2.milliseconds }
+            }
+        }
+    }
+
+    private suspend fun span(longest: Long, affected: List<ZoneId>, fault: MutableList<ZoneId>) {
+        fault += affected
+        updatePaths()
+        delay(random.nextLong(500, longest))
+        affected.forEach { fault -= it }
+        updatePaths()
+    }
+
+    private fun reaches(zone: ZoneId) = zone !in cutOff && zone !in withoutService
+
+    /** Kills all relays of a zone, or any processes; fresh ones take their place. */
+    private suspend fun killSome() {
+        val selection = RelaySelection(instances.value)
+        val relays = selection.relays(zones.random(random)).map { it.id }
+        val victims = if (random.nextBoolean()) {
+            relays
+        } else {
+            ids.map {
+                it.id
+            }.shuffled(random).take(random.nextInt(1, 6))
+        }
+        victims.forEach { stop(it) }
+        updateList()
+        delay(random.nextLong(100, 6_000))
+        ids.filter { it.id in victims && it.id !in running }.forEach { start(it) }
+        updateList()
+    }
+
+    /** A zone has a path when it, or a zone it is connected with, reaches the key-value service. */
+    private fun updatePaths() {
+        operatorFaults.reachable = zones.any { it !in withoutService }
+        zones.forEach { zone ->
+            zoneFaults.getValue(zone).reachable = reaches(zone)
+            val path = zones.any { connected(zone, it) && reaches(it) }
+            val members = running.values.filter { it.record.zone == zone }.map { it.name }
+            if (path &&
+                withoutPath.remove(zone)
+            ) {
+                events += members.map { SettingsEvent.PathFound(scope.currentTime, it) }
+            }
+            if (!path && withoutPath.add(zone)) events += members.map { SettingsEvent.PathLost(scope.currentTime, it) }
+        }
+    }
+
+    suspend fun run(): List<SettingsEvent> {
+        instances.value = ids
+        ids.forEach { start(it) }
+        val jobs = List(2) { scope.backgroundScope.launch { operate("operator-$it") } } +
+            List(3) { scope.backgroundScope.launch { disturb() } }
+        jobs.forEach { it.join() }
+        delay(6.seconds)
+        val accepted = service.acceptedWrites().filter { it.key == ROOT_KEY }.mapIndexed { i, write ->
+            SettingsEvent.Accepted(write.atMillis, Revision(i + 1L), checkNotNull(write.operation))
+        }
+        running.keys.toList().forEach { id -> running.getValue(id).job.cancel() }
+        events += SettingsEvent.Ended(scope.currentTime)
+        return (events + accepted).sortedBy { it.at }
+    }
+}
