--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
@@ -22,7 +22,8 @@
 import org.jujubelead.runtime.process.StartException
 import org.jujubelead.runtime.process.StopSignal
 import org.jujubelead.runtime.process.announceUntilTaken
-import org.jujubelead.runtime.process.followSettings
+import org.jujubelead.runtime.process.distributor
+import org.jujubelead.runtime.process.follow
 import org.jujubelead.runtime.process.newIncarnation
 import org.jujubelead.runtime.process.processContext
 import org.jujubelead.runtime.process.startHttp
@@ -35,6 +36,8 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
+/** Agents need the list only to find entries, so they read it less often than entries do. */
+private val LIST_INTERVAL: Duration = 2.seconds
 private val SWEEP_INTERVAL: Duration = 1.seconds
 private val DRAIN_POLL: Duration = 50.milliseconds
 
@@ -58,7 +61,9 @@
     val http = install({
         startHttp(context.http, context.metrics, readiness = agent::unreadyReason)
     }) { resource, _ -> resource.stopGracefully() }
-    context.scope.launch { context.followSettings(agent::apply) }
+    val self = context.agentRecord(newIncarnation(), InstanceState.LIVE)
+    context.scope.launch { context.instances.follow(LIST_INTERVAL) }
+    context.scope.launch { context.distributor(self).follow(agent::apply) }
     Event.PROCESS_STARTED.log("role=agent instance=${context.instance} listen=${context.listen}")
     agent.run(signal)
     http.stopGracefully()
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Dispatch.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Dispatch.kt
@@ -152,7 +152,7 @@
             }
             return end
         } finally {
-            withContext(NonCancellable) { control.run { state.loads.finished(target.key, routing, first) } }
+            withContext(NonCancellable) { control.run { now -> state.loads.finished(target.key, routing, first, now) } }
         }
     }
 
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryLoops.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryLoops.kt
@@ -1,7 +1,6 @@
 /** Periodic work of an entry: reading the instance list, probing targets, and adjusting capacity. */
 package org.jujubelead.runtime.entry
 
-import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -12,8 +11,10 @@
 import org.jujubelead.core.membership.MembershipEvent
 import org.jujubelead.core.membership.Target
 import org.jujubelead.core.routing.LoadReport
-import org.jujubelead.platform.InstanceDirectory
-import org.jujubelead.runtime.telemetry.Event
+import org.jujubelead.core.time.Timestamp
+import org.jujubelead.runtime.process.InstanceList
+import org.jujubelead.runtime.rpc.PeerChannels
+import org.jujubelead.runtime.rpc.address
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -33,7 +34,8 @@
     private val state: EntryState,
     private val dispatcher: Dispatcher,
     private val channels: TargetChannels,
-    private val directory: InstanceDirectory,
+    private val instances: InstanceList,
+    private val peers: PeerChannels,
 ) {
     private val control = state.control
 
@@ -43,7 +45,7 @@
         private set
 
     fun start(scope: CoroutineScope) {
-        scope.launch { every(LIST_INTERVAL) { readList() } }
+        scope.launch { instances.follow(LIST_INTERVAL, ::apply) }
         scope.launch { every(PROBE_INTERVAL) { probe(scope) } }
     }
 
@@ -54,21 +56,14 @@
         }
     }
 
-    private suspend fun readList() {
-        val requestedAt = control.now()
-        directory.snapshot().fold(
-            success = { records -> apply(records, requestedAt) },
-            failure = { Event.DIRECTORY_UNAVAILABLE.log("$it") },
-        )
-    }
-
-    private suspend fun apply(records: List<InstanceRecord>, requestedAt: org.jujubelead.core.time.Timestamp) {
+    private suspend fun apply(records: List<InstanceRecord>, requestedAt: Timestamp) {
         control.run { now ->
             state.update(MembershipEvent.ListRead(records = records, requestedAt = requestedAt), now)
             val known = state.view.known
             state.loads.retain(known)
             state.ticks.retain(known.mapTo(HashSet()) { it.key })
             channels.retain(known.mapTo(HashSet()) { it.key.instance })
+            peers.retain(records.mapTo(HashSet()) { it.address() })
             entries = records.filter { it.role == InstanceRole.ENTRY && it.state == InstanceState.LIVE }
             state.adjustCapacity(entries = entries.size.coerceAtLeast(1), now = now)
         }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryPresence.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryPresence.kt
@@ -2,7 +2,6 @@
 package org.jujubelead.runtime.entry
 
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.jujubelead.core.ids.Incarnation
 import org.jujubelead.core.membership.InstanceRole
@@ -11,10 +10,6 @@
 import org.jujubelead.runtime.process.ProcessContext
 import org.jujubelead.runtime.process.announceUntilTaken
 import org.jujubelead.runtime.telemetry.Event
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-
-private val SETTINGS_POLL: Duration = 50.milliseconds
 
 internal class EntryPresence(
     private val context: ProcessContext,
@@ -26,14 +21,15 @@
 
     /** Serves outside maintenance windows, and refuses new requests during them. */
     suspend fun followMaintenance() {
-        while (state.settings == null) delay(SETTINGS_POLL)
+        // Listed before the first settings: the first entry of a zone becomes the relay that reads them.
+        announce(InstanceState.LIVE)
         while (true) {
-            watch.awaitReturn()
-            state.draining = false
-            announce(InstanceState.LIVE)
             watch.awaitDrain()
             Event.DRAIN_STARTED.log("instance=${context.instance} reason=maintenance")
             leave()
+            watch.awaitReturn()
+            state.draining = false
+            announce(InstanceState.LIVE)
         }
     }
 
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
@@ -6,10 +6,13 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.jujubelead.core.membership.InstanceRole
+import org.jujubelead.core.membership.InstanceState
 import org.jujubelead.protocol.ProcessSettings
 import org.jujubelead.runtime.process.ProcessContext
 import org.jujubelead.runtime.process.StopSignal
-import org.jujubelead.runtime.process.followSettings
+import org.jujubelead.runtime.process.distributor
+import org.jujubelead.runtime.process.follow
 import org.jujubelead.runtime.process.newIncarnation
 import org.jujubelead.runtime.process.processContext
 import org.jujubelead.runtime.process.startHttp
@@ -51,7 +54,9 @@
     )
     val signal = StopSignal { stopNow(services) }
     signal.install()
-    install({ context.transport.serve(context.listen, listOf(PeerService(services))) }) { resource, _ ->
+    val distributor = context.distributor(context.record(InstanceRole.ENTRY, incarnation, InstanceState.LIVE))
+    val peerService = PeerService(services, distributor.server)
+    install({ context.transport.serve(context.listen, listOf(peerService)) }) { resource, _ ->
         resource.shutdownNow().awaitTermination(1, TimeUnit.SECONDS)
     }
     val http = install({
@@ -60,10 +65,15 @@
             ServiceRoutes(services, KeyedCalls()).install(this)
         }
     }) { resource, _ -> resource.stopGracefully() }
-    EntryLoops(state = state, dispatcher = dispatcher, channels = channels, directory = context.directory)
-        .start(context.scope)
+    EntryLoops(
+        state = state,
+        dispatcher = dispatcher,
+        channels = channels,
+        instances = context.instances,
+        peers = context.peers,
+    ).start(context.scope)
     context.scope.launch {
-        context.followSettings { snapshot ->
+        distributor.follow { snapshot ->
             state.settings = snapshot
             context.metrics.settingsRevision.set(snapshot.revision.value.toDouble())
         }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryState.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryState.kt
@@ -117,7 +117,7 @@
         val candidates = view.candidates(request.set, now)
         val snapshot = loads.snapshot(request.set, candidates, now)
         policy.choose(request, snapshot, random).also {
-            if (it is RoutingDecision.Chosen) loads.started(it.target, request)
+            if (it is RoutingDecision.Chosen) loads.started(it.target, request, now)
         }
     }
 
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/PeerService.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/PeerService.kt
@@ -2,14 +2,21 @@
 package org.jujubelead.runtime.entry
 
 import com.google.protobuf.ByteString
+import kotlinx.coroutines.flow.Flow
 import org.jujubelead.core.ids.RequestId
+import org.jujubelead.protocol.BranchReply
+import org.jujubelead.protocol.BranchRequest
 import org.jujubelead.protocol.BurnWindow
+import org.jujubelead.protocol.Digest
 import org.jujubelead.protocol.ExplainReply
 import org.jujubelead.protocol.ExplainRequest
 import org.jujubelead.protocol.PeerGrpcKt
+import org.jujubelead.protocol.SettingsUpdate
 import org.jujubelead.protocol.StatusReply
 import org.jujubelead.protocol.StatusRequest
+import org.jujubelead.protocol.SubscribeRequest
 import org.jujubelead.protocol.TargetStatus
+import org.jujubelead.settings.SettingsServer
 import java.nio.ByteBuffer
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
@@ -18,10 +25,19 @@
 /** Windows of the burn report: a short one shows what goes wrong now, a long one what it has cost. */
 private val BURN_WINDOWS: List<Duration> = listOf(5.minutes, 1.hours)
 
-/** Answers questions about this entry. */
-internal class PeerService(private val entry: EntryServices) : PeerGrpcKt.PeerCoroutineImplBase() {
+/** Answers questions about this entry, and passes settings on. */
+internal class PeerService(
+    private val entry: EntryServices,
+    private val settings: SettingsServer,
+) : PeerGrpcKt.PeerCoroutineImplBase() {
     private val state = entry.state
 
+    override fun subscribeSettings(request: SubscribeRequest): Flow<SettingsUpdate> = settings.subscribe(request)
+
+    override suspend fun exchangeDigest(request: Digest): Digest = settings.exchangeDigest(request)
+
+    override suspend fun fetchBranches(request: BranchRequest): BranchReply = settings.fetchBranches(request)
+
     override suspend fun explain(request: ExplainRequest): ExplainReply {
         val text = entry.traces.explain(RequestId(request.requestId))
         return ExplainReply.newBuilder().setFound(text != null).setText(text.orEmpty()).build()
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/process/ProcessContext.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/process/ProcessContext.kt
@@ -19,8 +19,10 @@
 import org.jujubelead.platform.KeyValueStore
 import org.jujubelead.protocol.ProcessSettings
 import org.jujubelead.runtime.rpc.Address
+import org.jujubelead.runtime.rpc.PeerChannels
 import org.jujubelead.runtime.rpc.Transport
 import org.jujubelead.runtime.telemetry.Metrics
+import org.jujubelead.settings.SettingsDistributor
 import java.util.UUID
 
 /** The settings of a process do not let it start. */
@@ -35,9 +37,13 @@
     public val transport: Transport,
     public val keyValue: KeyValueStore,
     public val directory: InstanceDirectory,
+    public val peers: PeerChannels,
     public val metrics: Metrics,
     public val scope: CoroutineScope,
 ) {
+    /** Instances as the platform lists them. */
+    public val instances: InstanceList = InstanceList(directory, control::now)
+
     public val instance: InstanceId = InstanceId(settings.instance)
     public val zone: ZoneId = ZoneId(settings.zone)
 
@@ -57,6 +63,14 @@
     )
 }
 
+/** The distributor of settings to [self], this process. */
+public fun ProcessContext.distributor(self: InstanceRecord): SettingsDistributor = SettingsDistributor(
+    self = self,
+    kv = keyValue,
+    peers = peers,
+    instances = instances.records,
+)
+
 /** Names a new life of this process, or of its service after a maintenance window. */
 public fun newIncarnation(): Incarnation = Incarnation(UUID.randomUUID().toString())
 
@@ -80,6 +94,7 @@
         transport = transport,
         keyValue = keyValue,
         directory = directory,
+        peers = install({ PeerChannels(transport) }) { resource, _ -> resource.close() },
         metrics = Metrics(),
         scope = scope,
     )
