Add the claim log and seeded histories for not-run and at-most-once

Cause: P3 and P4 need durable claims that survive the loss, the pause and the replacement of any owner, and a proof by histories. Ruled out: creating log entries only if absent and deleting them after compaction. An owner paused before its write would succeed at a position that its successor has compacted and deleted, and grant a claim nobody reads. Deleting also doubles the writes. The log is a ring of slots, written by compare-and-swap from the version of the entry that is replaced; versions do not return, so a position is won once, and nothing is deleted but expired chunks. Also ruled out: reporting a position overwritten by a later round as lost to another owner; the entry may have been there, so it is Uncertain. A tick taken at dispatch shows as a second run of the key (P4), not as a run after not-run (P3): the paused request is answered last.

--- /dev/null
+++ b/claims/src/test/kotlin/org/jujubelead/claims/PausableDispatcher.kt
@@ -0,0 +1,54 @@
+package org.jujubelead.claims
+
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Delay
+import kotlinx.coroutines.DisposableHandle
+import kotlinx.coroutines.InternalCoroutinesApi
+import kotlinx.coroutines.Runnable
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.coroutines.CoroutineContext
+import kotlin.coroutines.resume
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The thread of a process that can be frozen. [base] runs in virtual time and is never frozen. */
+@OptIn(InternalCoroutinesApi::class)
+internal class PausableDispatcher(private val base: CoroutineScope) : CoroutineDispatcher(), Delay {
+    private val held = ArrayDeque<Runnable>()
+    private var paused = false
+
+    fun pause() {
+        paused = true
+    }
+
+    fun resume() {
+        paused = false
+        while (held.isNotEmpty()) base.launchRun(held.removeFirst())
+    }
+
+    override fun dispatch(context: CoroutineContext, block: Runnable) {
+        if (paused) held += block else base.launchRun(block)
+    }
+
+    override fun scheduleResumeAfterDelay(timeMillis: Long, continuation: CancellableContinuation<Unit>) {
+        val timer = base.launch {
+            delay(timeMillis.milliseconds)
+            continuation.resume(Unit)
+        }
+        continuation.invokeOnCancellation { timer.cancel() }
+    }
+
+    override fun invokeOnTimeout(timeMillis: Long, block: Runnable, context: CoroutineContext): DisposableHandle {
+        val timer = base.launch {
+            delay(timeMillis.milliseconds)
+            dispatch(context, block)
+        }
+        return DisposableHandle { timer.cancel() }
+    }
+
+    private fun CoroutineScope.launchRun(block: Runnable) {
+        launch { if (paused) held += block else block.run() }
+    }
+}
--- /dev/null
+++ b/claims/src/test/kotlin/org/jujubelead/claims/SimulatedAgent.kt
@@ -0,0 +1,73 @@
+package org.jujubelead.claims
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import org.jujubelead.core.claim.ClaimedAttempt
+import org.jujubelead.core.execution.AdmitDecision
+import org.jujubelead.core.execution.AttemptState
+import org.jujubelead.core.execution.ExecutionLedger
+import org.jujubelead.core.execution.LedgerLimits
+import org.jujubelead.core.ids.Incarnation
+import org.jujubelead.core.ids.InstanceId
+import org.jujubelead.core.time.Timestamp
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** One incarnation of an agent, on a clock of its own. A replaced incarnation goes on with what it has admitted. */
+internal class SimulatedAgent(
+    val id: InstanceId,
+    val incarnation: Incarnation,
+    world: CoroutineScope,
+    private val millis: () -> Long,
+    private val history: History,
+    private val random: Random,
+    private val defect: Defect?,
+    limits: LedgerLimits,
+) {
+    private val startedMillis = millis()
+    private val clockOffset = random.nextInt(1_000).seconds
+    private val ledger = ExecutionLedger<String>(incarnation, limits)
+    private val dispatcher = PausableDispatcher(world)
+
+    fun now() = Timestamp.ZERO + (millis() - startedMillis).milliseconds + clockOffset
+
+    fun pause() = dispatcher.pause()
+
+    fun resume() = dispatcher.resume()
+
+    private suspend fun <T> onThread(body: suspend () -> T): T = withContext(dispatcher) { body() }
+
+    /** Runs an attempt; true when it finished, false when it certainly did not run and never will. */
+    suspend fun execute(key: Int, permit: ClaimedAttempt, timeLeftMillis: Long): Boolean? = onThread {
+        val named = if (defect == Defect.NO_INCARNATION_CHECK) incarnation else permit.incarnation
+        val decision = ledger.admit(permit.attempt, named, permit.tick, now() + timeLeftMillis.milliseconds, now())
+        when (decision) {
+            is AdmitDecision.Refused -> if (decision.notRun) false else null
+            is AdmitDecision.AlreadyKnown -> null
+            AdmitDecision.Admitted -> run(key, permit)
+        }
+    }
+
+    private suspend fun run(key: Int, permit: ClaimedAttempt): Boolean? {
+        delay(random.nextLong(200).milliseconds)
+        if (!ledger.handOver(permit.attempt, now())) return false
+        history.runs += History.Run(key, permit.attempt, millis())
+        delay(random.nextLong(300).milliseconds)
+        ledger.finish(permit.attempt, "done", 4, now())
+        return true
+    }
+
+    suspend fun cancel(permit: ClaimedAttempt): AttemptState = onThread {
+        val named = if (defect == Defect.NO_INCARNATION_CHECK) incarnation else permit.incarnation
+        val state = ledger.lookup(permit.attempt, named).state
+        when {
+            defect == Defect.NO_TOMBSTONE && state == AttemptState.UNKNOWN -> AttemptState.NOT_RUN
+            defect == Defect.CANCEL_IGNORES_HAND_OVER && state == AttemptState.RUNNING -> AttemptState.NOT_RUN
+            else -> ledger.cancel(permit.attempt, named, permit.tick, now())
+        }
+    }
+
+    fun startDrain() = ledger.startDrain()
+}
--- a/core/src/main/kotlin/org/jujubelead/core/claim/ClaimIndex.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/claim/ClaimIndex.kt
@@ -26,7 +26,7 @@
     /** Records a claim written at [sequence]. */
     public fun apply(claim: Claim, sequence: Long) {
         val known = slots[claim.key]
-        if (known != null && known.sequence > sequence) return
+        if (known != null && known.sequence >= sequence) return
         val slot = Slot(claim, sequence)
         slots[claim.key] = slot
         byArrival += slot
