Claim idempotency keys before dispatch, and distribute settings between processes

Cause: keyed calls were refused, and every process read the settings itself. Ruled out: refusing a repeated key while its first attempt runs (the caller would not get its answer); it joins the stream of that attempt instead. Change: entries own claim shards and ask each other over gRPC; a keyed call is sent only by the attempt its claim names; entries relay settings, agents subscribe to them; the instance list is read in one place per process. Before: a keyed booking got claims-unavailable.

--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/AttemptRunner.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/AttemptRunner.kt
@@ -29,6 +29,7 @@
 import org.jujubelead.protocol.RefusalReason
 import org.jujubelead.protocol.ResumeRequest
 import org.jujubelead.runtime.rpc.Address
+import org.jujubelead.runtime.rpc.isConnectFailure
 import org.jujubelead.runtime.telemetry.Event
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -247,6 +248,3 @@
 
 /** Address of the target's agent. */
 internal fun Target.address(): Address = Address(host = host, port = port)
-
-private fun StatusException.isConnectFailure(): Boolean =
-    generateSequence<Throwable>(cause) { it.cause }.any { it is java.net.ConnectException }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Dispatch.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Dispatch.kt
@@ -140,16 +140,26 @@
         deliver: suspend (Frame) -> Unit,
     ): AttemptEnd {
         var first = false
+        var frames = 0
+        val start = control.now()
+        var firstAt = start
         try {
             val tick = tick(target) ?: return AttemptEnd.Unreachable("the agent does not answer")
             val request = execution(context, target, tick).apply(work).build()
             val end = runAttempt(context, target, request) { frame ->
+                frames += 1
                 if (!first) {
                     first = true
+                    firstAt = control.now()
                     control.run { state.loads.firstToken(target.key, routing) }
                 }
                 deliver(frame)
             }
+            if (end is AttemptEnd.Complete) {
+                val now = control.now()
+                val pace = if (request.hasCall()) now - start else (now - firstAt) / frames.coerceAtLeast(1)
+                control.run { state.loads.measured(target.key, pace) }
+            }
             return end
         } finally {
             withContext(NonCancellable) { control.run { now -> state.loads.finished(target.key, routing, first, now) } }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryLoops.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryLoops.kt
@@ -6,8 +6,6 @@
 import kotlinx.coroutines.launch
 import org.jujubelead.core.membership.FailureKind
 import org.jujubelead.core.membership.InstanceRecord
-import org.jujubelead.core.membership.InstanceRole
-import org.jujubelead.core.membership.InstanceState
 import org.jujubelead.core.membership.MembershipEvent
 import org.jujubelead.core.membership.Target
 import org.jujubelead.core.routing.LoadReport
@@ -64,7 +62,7 @@
             state.ticks.retain(known.mapTo(HashSet()) { it.key })
             channels.retain(known.mapTo(HashSet()) { it.key.instance })
             peers.retain(records.mapTo(HashSet()) { it.address() })
-            entries = records.filter { it.role == InstanceRole.ENTRY && it.state == InstanceState.LIVE }
+            entries = records.liveEntries()
             state.adjustCapacity(entries = entries.size.coerceAtLeast(1), now = now)
         }
     }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
@@ -55,14 +55,15 @@
     val signal = StopSignal { stopNow(services) }
     signal.install()
     val distributor = context.distributor(context.record(InstanceRole.ENTRY, incarnation, InstanceState.LIVE))
-    val peerService = PeerService(services, distributor.server)
+    val claims = context.claimService(incarnation)
+    val peerService = PeerService(services, distributor.server, claims)
     install({ context.transport.serve(context.listen, listOf(peerService)) }) { resource, _ ->
         resource.shutdownNow().awaitTermination(1, TimeUnit.SECONDS)
     }
     val http = install({
         startHttp(context.http, context.metrics, readiness = { state.unreadyReason() }) {
             ChatRoutes(services).install(this)
-            ServiceRoutes(services, KeyedCalls()).install(this)
+            ServiceRoutes(services, KeyedCalls(services, claims)).install(this)
         }
     }) { resource, _ -> resource.stopGracefully() }
     EntryLoops(
@@ -78,11 +79,13 @@
             context.metrics.settingsRevision.set(snapshot.revision.value.toDouble())
         }
     }
+    context.scope.launch { claims.run() }
     val presence = EntryPresence(context, state, incarnation)
     Event.PROCESS_STARTED.log("role=entry instance=${context.instance} listen=${context.listen} http=${context.http}")
     val maintenance = context.scope.launch { presence.followMaintenance() }
     signal.requested.await()
     maintenance.cancelAndJoin()
+    context.scope.launch { claims.leave() }
     drain(context, services, presence)
     http.stopGracefully()
     Event.PROCESS_STOPPED.log("instance=${context.instance}")
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/PeerService.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/PeerService.kt
@@ -2,11 +2,16 @@
 package org.jujubelead.runtime.entry
 
 import com.google.protobuf.ByteString
+import io.grpc.Status
+import io.grpc.StatusException
 import kotlinx.coroutines.flow.Flow
+import org.jujubelead.claims.ClaimService
 import org.jujubelead.core.ids.RequestId
 import org.jujubelead.protocol.BranchReply
 import org.jujubelead.protocol.BranchRequest
 import org.jujubelead.protocol.BurnWindow
+import org.jujubelead.protocol.ClaimReply
+import org.jujubelead.protocol.ClaimRequest
 import org.jujubelead.protocol.Digest
 import org.jujubelead.protocol.ExplainReply
 import org.jujubelead.protocol.ExplainRequest
@@ -29,6 +34,7 @@
 internal class PeerService(
     private val entry: EntryServices,
     private val settings: SettingsServer,
+    private val claims: ClaimService,
 ) : PeerGrpcKt.PeerCoroutineImplBase() {
     private val state = entry.state
 
@@ -38,6 +44,12 @@
 
     override suspend fun fetchBranches(request: BranchRequest): BranchReply = settings.fetchBranches(request)
 
+    override suspend fun claim(request: ClaimRequest): ClaimReply {
+        val claim = request.toRequest()
+            ?: throw StatusException(Status.INVALID_ARGUMENT.withDescription("the claim is malformed"))
+        return claims.answer(request.shard, claim).toMessage()
+    }
+
     override suspend fun explain(request: ExplainRequest): ExplainReply {
         val text = entry.traces.explain(RequestId(request.requestId))
         return ExplainReply.newBuilder().setFound(text != null).setText(text.orEmpty()).build()
