--- /dev/null
+++ b/core/src/main/kotlin/org/jujubelead/core/group/MapCoordinator.kt
@@ -0,0 +1,351 @@
+/**
+ * Coordinator of one group's map changes: prepare, arm with a switch step, commit or abort, recovery, new generations.
+ *
+ * It starts by inspecting all ranks under its fence. While its lease holds it may decide; afterwards it only repeats a
+ * decision already made, to incarnations that promised its fence, which a successor's promise or a restart turns away.
+ * Orders carry no state of the sender, so every order is repeated until the rank's report shows its effect.
+ */
+package org.jujubelead.core.group
+
+import org.jujubelead.core.ids.Fence
+import org.jujubelead.core.ids.GroupId
+import org.jujubelead.core.ids.InstanceId
+import org.jujubelead.core.placement.ExpertPlacement
+import org.jujubelead.core.time.Timestamp
+
+/** Epochs of one fence; a lease holder makes far fewer changes. */
+private const val EPOCHS_PER_FENCE = 1L shl 20
+
+/** State of a coordinator. Create it with [takeOver] and feed it with [on]. */
+public class MapCoordinator internal constructor(
+    private val group: GroupId,
+    private val fence: Fence,
+    private val settings: CoordinatorSettings,
+    private val leaseUntil: Timestamp,
+    /** The record as last read or written. */
+    public val record: GroupRecord,
+    private val members: List<InstanceId>,
+    private val views: List<RankView>,
+    public val phase: CoordinatorPhase = CoordinatorPhase.Inspecting,
+    private val proposal: ExpertPlacement? = null,
+    private val lastEpoch: MapEpoch,
+) {
+    private fun copy(
+        leaseUntil: Timestamp = this.leaseUntil,
+        record: GroupRecord = this.record,
+        members: List<InstanceId> = this.members,
+        views: List<RankView> = this.views,
+        phase: CoordinatorPhase = this.phase,
+        proposal: ExpertPlacement? = this.proposal,
+        lastEpoch: MapEpoch = this.lastEpoch,
+    ) = MapCoordinator(
+        group, fence, settings, leaseUntil, record, members, views, phase, proposal, lastEpoch,
+    )
+
+    private fun holdsLease(now: Timestamp) = now < leaseUntil - settings.leaseMargin
+
+    /** Takes one event at [now]. */
+    public fun on(event: CoordinatorEvent, now: Timestamp): CoordinatorTransition {
+        if (phase is CoordinatorPhase.Stopped) return CoordinatorTransition(state = this, effects = emptyList())
+        val before = take(event, now)
+        val after = when {
+            before.holdsLease(now) -> before.decide(now)
+            phase is CoordinatorPhase.Committing || phase == CoordinatorPhase.Aborting -> before
+            else -> before.stop(StopReason.LEASE_ENDED)
+        }
+        val next = if (after.phase == phase) after else after.copy(views = after.views.map { it.renewed() })
+        return next.send(now, saving = phase)
+    }
+
+    private fun take(event: CoordinatorEvent, now: Timestamp): MapCoordinator = when (event) {
+        CoordinatorEvent.Tick -> this
+
+        is CoordinatorEvent.Reported -> reported(event.report, now)
+
+        // The same fence shows that the lease never lapsed at the service, even if it did on the own clock.
+        is CoordinatorEvent.LeaseRenewed -> copy(leaseUntil = maxOf(leaseUntil, event.until))
+
+        is CoordinatorEvent.MembersChanged -> membersChanged(event.members)
+
+        is CoordinatorEvent.Proposed -> copy(proposal = event.placement)
+
+        is CoordinatorEvent.Saved -> saved(event.record, now)
+
+        CoordinatorEvent.SaveFailed -> if (phase is CoordinatorPhase.Saving) stop(StopReason.RECORD_UNCERTAIN) else this
+    }
+
+    private fun stop(reason: StopReason) = copy(phase = CoordinatorPhase.Stopped(reason))
+
+    private fun reported(report: RankReport, now: Timestamp): MapCoordinator {
+        val higher = report.promised != null && report.promised > fence
+        if (higher) return stop(StopReason.SUPERSEDED)
+        val ours = holdsLease(now) && report.promised == fence
+        return copy(views = views.map { if (it.rank == report.rank) it.with(report, ours) else it })
+    }
+
+    private fun membersChanged(next: List<InstanceId>) = copy(
+        members = next,
+        views = next.mapIndexed { i, member ->
+            views.getOrNull(i)?.takeIf { it.member == member } ?: RankView(rank = RankId(i), member = member)
+        },
+    )
+
+    private fun saved(saved: GroupRecord, now: Timestamp): MapCoordinator = when {
+        phase !is CoordinatorPhase.Saving || phase.record != saved -> this
+
+        saved.generation > record.generation -> copy(record = saved, phase = CoordinatorPhase.Forming())
+
+        saved.proposed == null -> copy(record = saved, phase = CoordinatorPhase.Steady)
+
+        else -> copy(
+            record = saved,
+            phase = CoordinatorPhase.Preparing(map = saved.proposed, deadline = now + settings.prepareFor),
+        )
+    }
+
+    private fun decide(now: Timestamp): MapCoordinator {
+        val known = learnCommitted()
+        return if (known.needsGeneration()) known.newGeneration() else known.decideInGeneration(now)
+    }
+
+    private fun learnCommitted(): MapCoordinator {
+        val epoch = views.firstNotNullOfOrNull { it.committedBeyond(record.committed.epoch) }
+        val map = record.proposed?.takeIf { it.epoch == epoch && it.epoch > record.committed.epoch } ?: return this
+        return copy(record = record.copy(committed = map))
+    }
+
+    private fun needsGeneration(): Boolean = when (phase) {
+        is CoordinatorPhase.Saving, is CoordinatorPhase.Stopped -> false
+
+        is CoordinatorPhase.Forming -> record.members != members || phase.joined.any { (rank, incarnation) ->
+            val view = views[rank.value]
+            view.bound != null && view.bound != incarnation && view.generation != record.generation
+        }
+
+        // The survivors are heard first, so that the last committed map is known.
+        CoordinatorPhase.Inspecting -> views.none { it.bound == null && it.member in record.members } && outdated()
+
+        else -> outdated()
+    }
+
+    private fun outdated() =
+        record.members != members || views.any { it.generation != null && it.generation != record.generation }
+
+    /** The last committed map goes into the new generation; whatever was pending in the old one ends with it. */
+    private fun newGeneration(): MapCoordinator {
+        val committed = if (phase is CoordinatorPhase.Committing) phase.map else record.committed
+        val next = GroupRecord(
+            generation = GroupGeneration(record.generation.value + 1),
+            members = members,
+            committed = committed,
+        )
+        return copy(phase = CoordinatorPhase.Saving(next))
+    }
+
+    private fun decideInGeneration(now: Timestamp): MapCoordinator = when (phase) {
+        CoordinatorPhase.Inspecting -> recover()
+
+        CoordinatorPhase.Steady -> steady()
+
+        is CoordinatorPhase.Saving, is CoordinatorPhase.Stopped -> this
+
+        is CoordinatorPhase.Preparing -> prepared(phase, now)
+
+        is CoordinatorPhase.Arming -> armed(phase, now)
+
+        is CoordinatorPhase.Committing -> if (views.all { it.report?.activeEpoch == phase.map.epoch }) {
+            copy(record = record.copy(committed = phase.map), phase = CoordinatorPhase.Steady)
+        } else {
+            this
+        }
+
+        CoordinatorPhase.Aborting -> if (views.all { it.bound != null && it.pending == null }) {
+            copy(phase = CoordinatorPhase.Steady)
+        } else {
+            this
+        }
+
+        is CoordinatorPhase.Forming -> formed(phase)
+    }
+
+    /**
+     * A committed rank decides for all, since every rank was armed then. Without one, only the answers of all ranks,
+     * which now refuse lower fences, rule a commit out.
+     */
+    private fun recover(): MapCoordinator {
+        val map = record.proposed
+        val committed = map != null && record.committed.epoch == map.epoch
+        val switch = views.firstNotNullOfOrNull { it.switchStep(map?.epoch) }
+        return when {
+            committed && views.any { it.phase is MapPhase.Armed || it.phase is MapPhase.Committed } && switch != null ->
+                copy(phase = CoordinatorPhase.Committing(map = map, switchStep = switch))
+
+            views.any { it.bound == null } -> this
+
+            views.any { it.pending != null } -> copy(phase = CoordinatorPhase.Aborting)
+
+            else -> copy(phase = CoordinatorPhase.Steady)
+        }
+    }
+
+    private fun steady(): MapCoordinator = when {
+        views.any { it.bound != null && it.pending != null } -> recover()
+
+        proposal == null || views.any { it.bound == null } -> this
+
+        else -> {
+            val map = ExpertMap(epoch = MapEpoch(lastEpoch.value + 1), placement = proposal)
+            copy(
+                phase = CoordinatorPhase.Saving(record.copy(proposed = map)),
+                proposal = null,
+                lastEpoch = map.epoch,
+            )
+        }
+    }
+
+    private fun prepared(phase: CoordinatorPhase.Preparing, now: Timestamp): MapCoordinator {
+        val refused = views.any { it.report?.refusal in setOf(MapRefusal.EPOCH_ENDED, MapRefusal.BUSY) }
+        return when {
+            refused || now >= phase.deadline -> abandon(phase.map)
+
+            !views.all { it.isPrepared(phase.map.epoch) } -> this
+
+            now + settings.armFor >= leaseUntil - settings.leaseMargin -> this
+
+            else -> copy(
+                phase = CoordinatorPhase.Arming(
+                    map = phase.map,
+                    switchStep = views.maxOf { it.report?.step ?: -1 } + settings.switchMargin,
+                    deadline = now + settings.armFor,
+                ),
+            )
+        }
+    }
+
+    private fun armed(phase: CoordinatorPhase.Arming, now: Timestamp): MapCoordinator {
+        val all = MapPhase.Armed(epoch = phase.map.epoch, switchStep = phase.switchStep)
+        val refused = views.any { it.report?.refusal in setOf(MapRefusal.STEP_PASSED, MapRefusal.NOT_PREPARED) }
+        return when {
+            views.all { it.phase == all } -> copy(
+                phase = CoordinatorPhase.Committing(map = phase.map, switchStep = phase.switchStep),
+            )
+
+            refused || now >= phase.deadline -> abandon(phase.map)
+
+            else -> this
+        }
+    }
+
+    /** The same placement is tried again under a new epoch; weights already loaded stay loaded. */
+    private fun abandon(map: ExpertMap) = copy(
+        phase = CoordinatorPhase.Aborting,
+        proposal = proposal ?: map.placement,
+    )
+
+    private fun formed(phase: CoordinatorPhase.Forming): MapCoordinator = when {
+        views.all { it.generation == record.generation } -> copy(phase = CoordinatorPhase.Steady)
+
+        phase.joined.isEmpty() && views.all { it.isOutside() && it.isPrepared(record.committed.epoch) } ->
+            copy(phase = CoordinatorPhase.Forming(joined = views.associate { it.rank to checkNotNull(it.bound) }))
+
+        else -> this
+    }
+
+    private fun send(now: Timestamp, saving: CoordinatorPhase): CoordinatorTransition {
+        val save = (phase as? CoordinatorPhase.Saving)?.takeIf {
+            it != saving
+        }?.let { CoordinatorEffect.Save(it.record) }
+        // After the lease, no Inspect: a restarted agent could promise the old fence again.
+        val mayOrder = { o: MapOrder ->
+            phase !is CoordinatorPhase.Stopped && (o != MapOrder.Inspect || holdsLease(now))
+        }
+        val due = views.map { view ->
+            val needed = orderFor(view)
+            val again = if (needed == null) settings.probeEvery else settings.retryAfter
+            val order = (needed ?: MapOrder.Inspect).takeIf(mayOrder)
+            view to order.takeIf { view.sentAt == null || now - view.sentAt >= again }
+        }
+        val sends = due.mapNotNull { (view, order) -> order?.let { view.send(it) } }
+        val sent = copy(views = due.map { (view, order) -> if (order == null) view else view.copy(sentAt = now) })
+        return CoordinatorTransition(state = sent, effects = listOfNotNull(save) + sends)
+    }
+
+    private fun RankView.send(order: MapOrder) = CoordinatorEffect.Send(
+        rank = rank,
+        member = member,
+        order = RankOrder(
+            group = group,
+            generation = record.generation,
+            fence = fence,
+            incarnation = bound.takeIf { order != MapOrder.Inspect },
+            order = order,
+        ),
+    )
+
+    /** The order that brings the rank closer to the phase's end; null when only a probe is due from time to time. */
+    private fun orderFor(view: RankView): MapOrder? = when {
+        view.bound == null -> MapOrder.Inspect
+
+        else -> when (phase) {
+            is CoordinatorPhase.Preparing -> view.prepareOrder(phase.map)
+
+            is CoordinatorPhase.Arming -> MapOrder.Arm(epoch = phase.map.epoch, switchStep = phase.switchStep)
+                .takeIf { view.phase !is MapPhase.Armed }
+
+            is CoordinatorPhase.Committing -> when {
+                view.phase is MapPhase.Armed ->
+                    MapOrder.Commit(epoch = phase.map.epoch, switchStep = phase.switchStep)
+
+                else -> MapOrder.Inspect.takeIf { view.report?.activeEpoch != phase.map.epoch }
+            }
+
+            CoordinatorPhase.Aborting -> view.pending?.let { MapOrder.Abort(it) }
+
+            is CoordinatorPhase.Forming -> formingOrder(view, phase)
+
+            else -> null
+        }
+    }
+
+    private fun formingOrder(view: RankView, phase: CoordinatorPhase.Forming): MapOrder? {
+        val map = record.committed
+        val fresh = views.filter { it.bound == null || it.isOutside() }
+        return when {
+            view.generation == record.generation -> null
+            !view.isOutside() -> MapOrder.Prepare(map).takeIf { fresh.all { it.isPrepared(map.epoch) } }
+            view.report?.refusal == MapRefusal.NOT_PREPARED -> MapOrder.Prepare(map)
+            phase.joined.isNotEmpty() -> MapOrder.Commit(epoch = map.epoch, switchStep = 0)
+            else -> view.prepareOrder(map)
+        }
+    }
+
+    public companion object {
+        /**
+         * A coordinator that has just got the lease under [fence].
+         *
+         * @param record the group's record, read after the lease was granted.
+         * @param members instances that are to form the group, by rank.
+         */
+        public fun takeOver(
+            group: GroupId,
+            fence: Fence,
+            leaseUntil: Timestamp,
+            record: GroupRecord,
+            members: List<InstanceId> = record.members,
+            settings: CoordinatorSettings = CoordinatorSettings(),
+        ): MapCoordinator = MapCoordinator(
+            lastEpoch = maxOf(
+                MapEpoch(fence.value * EPOCHS_PER_FENCE),
+                record.committed.epoch,
+                record.proposed?.epoch ?: record.committed.epoch,
+            ),
+            group = group,
+            fence = fence,
+            settings = settings,
+            leaseUntil = leaseUntil,
+            record = record,
+            members = members,
+            views = members.mapIndexed { i, member -> RankView(rank = RankId(i), member = member) },
+        )
+    }
+}
