--- a/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
@@ -5,7 +5,9 @@
 
 private const val EXIT_USAGE = 2
 
-private val experiments: List<Experiment> = listOf()
+private val experiments: List<Experiment> = listOf(
+    org.jujubelead.bench.prove.FootprintExperiment(),
+)
 
 public fun main(args: Array<String>) {
     val seedIndex = args.indexOf("--seed")
--- a/bench/src/main/kotlin/org/jujubelead/bench/prove/CallLoad.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/prove/CallLoad.kt
@@ -13,12 +13,14 @@
 private const val MILLIS_PER_SECOND = 1_000L
 private const val KEYED_REPEATS = 3
 private const val REPEAT_GAP_MS = 300L
+private val TOKENS = 5..60
+private val DEADLINES_MS = 2_000L..4_000L
 
 /** What kinds of calls, how many a second, and how long. */
 internal data class LoadProfile(
     val callsPerSecond: Int = 40,
-    val tokens: IntRange = 5..60,
-    val deadlineMs: LongRange = 2_000L..4_000L,
+    val tokens: IntRange = TOKENS,
+    val deadlineMs: LongRange = DEADLINES_MS,
     val kinds: List<CallKind> = CallKind.entries,
 )
 
--- a/bench/src/main/kotlin/org/jujubelead/bench/prove/Caller.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/prove/Caller.kt
@@ -126,7 +126,8 @@
 
             else -> setBody(
                 """{"model":"chat","messages":[{"role":"user","content":"${plan.subject}"}],""" +
-                    """"stream":${plan.kind == CallKind.CHAT_STREAM},"max_tokens":${plan.maxTokens},"seed":${plan.seed}}""",
+                    """"stream":${plan.kind == CallKind.CHAT_STREAM},""" +
+                    """"max_tokens":${plan.maxTokens},"seed":${plan.seed}}""",
             )
         }
     }
--- a/bench/src/main/kotlin/org/jujubelead/bench/prove/Checkers.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/prove/Checkers.kt
@@ -89,7 +89,8 @@
         else -> listOf("${stop.instance} (${stop.method}): exit code ${stop.exitCode ?: "none, still running"}")
     }
     exit + cut.map {
-        "${stop.instance} (${stop.method}): cut ${it.kind} ${it.subject} at ${it.entry}: status ${it.status} ${it.error}"
+        "${stop.instance} (${stop.method}): cut ${it.kind} ${it.subject} at ${it.entry}: " +
+            "status ${it.status} ${it.error}"
     }
 }
 
--- a/bench/src/main/kotlin/org/jujubelead/bench/prove/Fleet.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/prove/Fleet.kt
@@ -1,4 +1,4 @@
-/** A running system of real processes on loopback: platform stand-ins, and entries, agents and targets in three zones. */
+/** A running system of real processes on loopback: platform stand-ins, and zones of entries, agents and targets. */
 package org.jujubelead.bench.prove
 
 import com.github.michaelbull.result.get
@@ -27,7 +27,8 @@
     val zones: Int = 3,
     val enginesPerZone: Int = 2,
     val servicesPerZone: Int = 1,
-    val engineOptions: List<String> = listOf("--first-token-ms", "40", "--token-gap-ms", "15", "--capacity", "32"),
+    val capacity: Int = 32,
+    val engineOptions: List<String> = listOf("--first-token-ms", "40", "--token-gap-ms", "15"),
     val relays: Boolean = true,
 )
 
@@ -161,10 +162,12 @@
         return Member(instance, role, zone, http, file.absoluteFile, relay, target)
     }
 
+    private fun engineOptions() = shape.engineOptions + listOf("--model", "chat", "--capacity", "${shape.capacity}")
+
     private fun targetYaml(target: TargetProcess?): String = when (target?.kind) {
         null -> ""
-        "engine" -> "target: {url: \"${target.url}\", model: chat, capacity: 32}\n"
-        else -> "target: {url: \"${target.url}\", service: booking, capacity: 32}\n"
+        "engine" -> "target: {url: \"${target.url}\", model: chat, capacity: ${shape.capacity}}\n"
+        else -> "target: {url: \"${target.url}\", service: booking, capacity: ${shape.capacity}}\n"
     }
 
     private fun applyFirstSettings(): Unit = runBlocking {
--- a/standins/src/main/kotlin/org/jujubelead/standins/DirectoryHttp.kt
+++ b/standins/src/main/kotlin/org/jujubelead/standins/DirectoryHttp.kt
@@ -1,7 +1,7 @@
 /**
  * The instance list over HTTP, with faults: `PUT /_control/directory` sets lag, freeze and outage;
- * `POST /_control/leaving?id=I` and `POST /_control/remove?id=I` change one instance; `POST /_control/reroute?id=I&port=P`
- * lists it at a relay.
+ * `POST /_control/leaving?id=I` and `POST /_control/remove?id=I` change one instance;
+ * `POST /_control/reroute?id=I&port=P` lists it at a relay.
  */
 package org.jujubelead.standins
 
