--- a/bench/src/main/kotlin/org/jujubelead/bench/prove/Scenario.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/prove/Scenario.kt
@@ -51,7 +51,9 @@
 internal suspend fun awaitServing(context: RunContext, name: String) {
     val end = System.currentTimeMillis() + SERVING_LIMIT_MS
     context.fleet.entries.forEach { entry ->
-        listOf(CallKind.CHAT_WHOLE, CallKind.GET).forEach { kind -> awaitServing(context, "$name-serving", entry, kind, end) }
+        listOf(CallKind.CHAT_WHOLE, CallKind.GET).forEach { kind ->
+            awaitServing(context, "$name-serving", entry, kind, end)
+        }
     }
 }
 
--- a/cli/src/main/kotlin/org/jujubelead/cli/Main.kt
+++ b/cli/src/main/kotlin/org/jujubelead/cli/Main.kt
@@ -6,7 +6,7 @@
 import org.jujubelead.cli.fleet.StatusCommand
 import org.jujubelead.cli.roles.AgentCommand
 import org.jujubelead.cli.roles.EntryCommand
-import org.jujubelead.cli.settings.SettingsApply
+import org.jujubelead.cli.settings.settingsCommands
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
 import org.kohsuke.args4j.ParserProperties
@@ -71,8 +71,7 @@
     CommandEntry(name = "status", summary = "show the fleet at a glance", create = ::StatusCommand),
     CommandEntry(name = "explain", summary = "show where a request went, and why", create = ::ExplainCommand),
     CommandEntry(name = "report burn", summary = "show service-level burn per workspace", create = ::BurnCommand),
-    CommandEntry(name = "settings apply", summary = "get a file of settings accepted", create = ::SettingsApply),
-)
+) + settingsCommands
 
 public fun main(args: Array<String>) {
     exitProcess(runCommand(args = args.toList(), commands = commands))
--- a/cli/src/main/kotlin/org/jujubelead/cli/settings/SettingsApply.kt
+++ b/cli/src/main/kotlin/org/jujubelead/cli/settings/SettingsApply.kt
@@ -1,58 +1,86 @@
-/** `jujubelead settings apply`: checks a file of settings and gets it accepted. */
+/** `settings apply FILE`: proposes a file. Changes accepted since its base are merged with it, field by field. */
 package org.jujubelead.cli.settings
 
-import com.github.michaelbull.result.fold
-import com.github.michaelbull.result.getOrElse
-import kotlinx.coroutines.runBlocking
-import org.jujubelead.cli.Command
 import org.jujubelead.cli.ExitCode
 import org.jujubelead.core.ids.OperationId
+import org.jujubelead.core.ids.Revision
 import org.jujubelead.platform.HttpKeyValueStore
+import org.jujubelead.platform.KeyValueStore
+import org.jujubelead.settings.Acceptance
 import org.jujubelead.settings.SettingsEdit
-import org.jujubelead.settings.SettingsParser
 import org.jujubelead.settings.SettingsStore
+import org.jujubelead.settings.SettingsYaml
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.Option
 import java.io.File
+import java.io.PrintStream
 import java.time.Instant
 import java.util.UUID
 
-public class SettingsApply : Command {
+public class SettingsApply(
+    out: PrintStream,
+    err: PrintStream,
+    connect: (String) -> KeyValueStore = ::HttpKeyValueStore,
+) : StoreCommand(out, err, connect) {
+    public constructor() : this(System.out, System.err)
+
     @Argument(metaVar = "FILE", required = true, usage = "YAML file with the whole tree")
     private lateinit var file: File
 
-    @Option(name = "--kv", required = true, metaVar = "URL", usage = "base URL of the key-value service")
-    private lateinit var keyValueUrl: String
+    @Option(
+        name = "--base",
+        metaVar = "N",
+        usage = "revision that the file is an edit of; default: the comment '# revision: N' in its first line",
+    )
+    private var base: Long? = null
+
+    @Option(name = "--replace", forbids = ["--base"], usage = "put the file in place of whatever is accepted now")
+    private var replace: Boolean = false
 
     @Option(name = "--author", metaVar = "NAME", usage = "who makes the change")
-    private var author: String = System.getProperty("user.name")
+    private var author: String = System.getProperty("user.name").orEmpty()
 
-    override fun run(): Int = runBlocking {
-        val tree = SettingsParser.parse(file.readText(), file.path).getOrElse { faults ->
-            faults.forEach { System.err.println(it) }
-            return@runBlocking ExitCode.USAGE
-        }
-        HttpKeyValueStore(keyValueUrl).use { kv ->
-            val store = SettingsStore(kv)
-            val base = store.readRoot().getOrElse { null }?.root?.revision?.let { org.jujubelead.core.ids.Revision(it) }
-            val edit = SettingsEdit(
-                operation = OperationId(UUID.randomUUID().toString()),
-                author = author,
-                summary = file.name,
-                at = Instant.now(),
-                base = base,
-                tree = tree,
-            )
-            store.apply(edit).fold(
-                success = {
-                    println("accepted as revision ${it.revision}")
-                    ExitCode.OK
-                },
-                failure = {
-                    System.err.println("not accepted: $it")
-                    ExitCode.FAILED
-                },
+    @Option(name = "--summary", metaVar = "TEXT", usage = "reason for the change, for the history")
+    private var summary: String? = null
+
+    @Option(
+        name = "--operation",
+        metaVar = "ID",
+        usage = "id of an earlier attempt of the same change, to find its outcome",
+    )
+    private var operation: String = UUID.randomUUID().toString()
+
+    override suspend fun run(store: SettingsStore): Int {
+        val text = file.readText()
+        val edit = SettingsEdit(
+            operation = OperationId(operation),
+            author = author,
+            summary = summary ?: file.name,
+            at = Instant.now(),
+            base = store.baseOf(text),
+            tree = parseFile(text, file),
+        )
+        out.println(describe(store.apply(edit).orFail()))
+        return ExitCode.OK
+    }
+
+    private suspend fun SettingsStore.baseOf(text: String): Revision? {
+        val current = readRoot().orFail()?.let { Revision(it.root.revision) } ?: return null
+        val given = base?.let(::Revision) ?: SettingsYaml.revisionOf(text)
+        if (given == null && !replace) {
+            throw CommandFailure(
+                "the revision that $file is an edit of is not known; give --base N, start from 'settings get', " +
+                    "or use --replace to put the file in place of revision $current",
+                ExitCode.USAGE,
             )
         }
+        return given?.takeUnless { replace } ?: current
     }
 }
+
+internal fun describe(acceptance: Acceptance): String =
+    if (acceptance.changed) {
+        "accepted as revision ${acceptance.revision}"
+    } else {
+        "nothing to change; revision ${acceptance.revision} stays in force"
+    }
--- a/settings/src/main/kotlin/org/jujubelead/settings/EffectiveSettings.kt
+++ b/settings/src/main/kotlin/org/jujubelead/settings/EffectiveSettings.kt
@@ -70,6 +70,39 @@
     val model: ModelId? = null,
 )
 
+/**
+ * The scope of the node at [path], such as `workspaces/acme/per_service/booking`; null when no values are in force
+ * there. [zone] adds the values of a zone.
+ */
+public fun scopeOf(path: SettingsPath, zone: ZoneId? = null): SettingsScope? {
+    val parts = path.segments
+    val name = parts.getOrNull(1)
+    return when {
+        parts.isEmpty() || parts == listOf("defaults") -> SettingsScope(zone = zone)
+
+        name == null -> null
+
+        parts.size == 2 -> when (parts[0]) {
+            "zones" -> SettingsScope(zone = ZoneId(name))
+            "services" -> SettingsScope(zone = zone, service = ServiceId(name))
+            "models" -> SettingsScope(zone = zone, model = ModelId(name))
+            "workspaces" -> SettingsScope(zone = zone, workspace = WorkspaceId(name))
+            else -> null
+        }
+
+        parts.size == NESTED_NODE_DEPTH && parts[0] == "workspaces" -> when (parts[2]) {
+            "per_service" -> SettingsScope(zone, WorkspaceId(name), service = ServiceId(parts.last()))
+            "per_model" -> SettingsScope(zone, WorkspaceId(name), model = ModelId(parts.last()))
+            else -> null
+        }
+
+        else -> null
+    }
+}
+
+/** Segments of the path of a node nested in a workspace. */
+private const val NESTED_NODE_DEPTH = 4
+
 /** One node that sets values. */
 public class SettingsLayer(public val path: SettingsPath, public val values: Overrides)
 
--- a/settings/src/main/kotlin/org/jujubelead/settings/SettingsDistributor.kt
+++ b/settings/src/main/kotlin/org/jujubelead/settings/SettingsDistributor.kt
@@ -2,8 +2,8 @@
  * Keeps the settings of one process up to date.
  *
  * Relays watch the root record. Other processes subscribe to two upstreams. All exchange their revision with a random
- * entry every second and fetch a higher one, so that dead relays, silent connections and differing views of the instance
- * list delay a change but do not lose it. A process only ever goes to a higher revision.
+ * entry every second and fetch a higher one, so that dead relays, silent connections and differing views of the
+ * instance list delay a change but do not lose it. A process only ever goes to a higher revision.
  */
 package org.jujubelead.settings
 
--- a/settings/src/main/kotlin/org/jujubelead/settings/TreeFields.kt
+++ b/settings/src/main/kotlin/org/jujubelead/settings/TreeFields.kt
@@ -70,11 +70,13 @@
 private val Message.mapValue: Message get() = getField(descriptorForType.findFieldByName("value")) as Message
 
 /** Builds a tree from its fields and nodes; the inverse of [flatten]. */
-public fun unflatten(fields: Map<SettingsPath, FieldValue>): SettingsTree {
-    val root = LinkedHashMap<String, Any>()
-    fields.forEach { (path, value) -> insert(root, path.segments, value) }
-    return buildTree(root)
-}
+public fun unflatten(fields: Map<SettingsPath, FieldValue>): SettingsTree = buildTree(nested(fields))
+
+/** Nests fields and nodes as they stand in YAML. */
+internal fun nested(fields: Map<SettingsPath, FieldValue>): Map<String, Any> =
+    LinkedHashMap<String, Any>().also { root ->
+        fields.forEach { (path, value) -> insert(root, path.segments, value) }
+    }
 
 @Suppress("UNCHECKED_CAST")
 private fun insert(root: MutableMap<String, Any>, segments: List<String>, value: FieldValue) {
--- a/settings/src/test/kotlin/org/jujubelead/settings/SettingsHistoryTest.kt
+++ b/settings/src/test/kotlin/org/jujubelead/settings/SettingsHistoryTest.kt
@@ -38,8 +38,8 @@
         (1L..SEEDS).asSequence().flatMap { violations(it, mechanism) }.map { it.second }.firstOrNull { it is V }
 
     /**
-     * P7 with up to three overlapping faults: outages, relays killed, zones cut off, silent connections, a slow service,
-     * lost answers, late writes and two operators.
+     * P7 with up to three overlapping faults: outages, relays killed, zones cut off, silent connections and a slow
+     * service, besides lost answers, late writes and two operators.
      */
     @Test
     fun `accepted revisions are in force within the bound and never revert`() {
--- a/settings/src/test/kotlin/org/jujubelead/settings/SimulatedFleet.kt
+++ b/settings/src/test/kotlin/org/jujubelead/settings/SimulatedFleet.kt
@@ -23,7 +23,6 @@
 import org.jujubelead.core.membership.InstanceRecord
 import org.jujubelead.core.membership.InstanceRole
 import org.jujubelead.platform.KeyValueStore
-import org.jujubelead.protocol.BranchReply
 import org.jujubelead.protocol.BranchRequest
 import org.jujubelead.protocol.Digest
 import org.jujubelead.protocol.SettingsUpdate
@@ -172,7 +171,10 @@
             }
         }
 
-        private suspend fun <T> call(peer: InstanceRecord, answer: (SettingsServer) -> T): Result<T, SettingsPeerError> {
+        private suspend fun <T> call(
+            peer: InstanceRecord,
+            answer: (SettingsServer) -> T,
+        ): Result<T, SettingsPeerError> {
             travel()
             val server = reach(peer) ?: return Err(SettingsPeerError.Unreachable("down"))
             val reply = answer(server.distributor.server)
@@ -184,7 +186,7 @@
             it.exchangeDigest(digest)
         }
 
-        override suspend fun fetchBranches(peer: InstanceRecord, request: BranchRequest): Result<BranchReply, SettingsPeerError> =
+        override suspend fun fetchBranches(peer: InstanceRecord, request: BranchRequest) =
             call(peer) { it.fetchBranches(request) }
     }
 
