--- a/runtime/src/main/kotlin/org/jujubelead/runtime/rpc/PeerChannels.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/rpc/PeerChannels.kt
@@ -1,7 +1,8 @@
 /**
  * Connections to entries, from other entries and from agents.
  *
- * A call that fails or gets no answer in time closes its connection, since a connection can go silent for good while new
+ * A call that fails or gets no answer in time closes its connection, since a connection can go silent for good while
+ * new
  * ones work.
  */
 package org.jujubelead.runtime.rpc
