--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
@@ -130,7 +130,13 @@
             context.directory.announceUntilTaken(context.agentRecord(state.incarnation, InstanceState.LIVE))
         }
         current = state
+        val leaves = context.scope.launch {
+            context.instances.awaitLeaving(context.instance, state.incarnation)
+            signal.request()
+        }
         untilStop(signal) { maintenance.awaitDrain() }
+        // The own announcement of the drain would look like an order to leave.
+        leaves.cancelAndJoin()
         announcer.cancelAndJoin()
         drain(state)
         sweeper.cancel()
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
@@ -72,6 +72,7 @@
             keepUntilExpiry = keeps,
             capacity = STREAM_CAPACITY,
             frames = frames,
+            createdAt = control.now(),
         )
         val job = traffic.launch(start = kotlinx.coroutines.CoroutineStart.LAZY) {
             target.run(request, stream, this@AgentState)
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AttemptStream.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AttemptStream.kt
@@ -30,12 +30,15 @@
     private val keepUntilExpiry: Boolean,
     capacity: Int,
     private val frames: FrameFactory,
+    createdAt: Timestamp,
 ) {
     private val lock = Any()
     private val buffer = FrameBuffer<Frame>(capacity)
     private val changes = MutableStateFlow(0L)
     private var readers = 0
-    private var idleSince: Timestamp? = null
+
+    // A call can end before it reads anything, so a stream without readers is idle from the start.
+    private var idleSince: Timestamp = createdAt
 
     /** Appends a frame with the next sequence number; suspends while the reader is too far behind. */
     public suspend fun append(fill: Frame.Builder.() -> Unit) {
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
@@ -83,7 +83,12 @@
     val presence = EntryPresence(context, state, incarnation)
     Event.PROCESS_STARTED.log("role=entry instance=${context.instance} listen=${context.listen} http=${context.http}")
     val maintenance = context.scope.launch { presence.followMaintenance() }
+    val leaves = context.scope.launch {
+        presence.awaitLeaving()
+        signal.request()
+    }
     signal.requested.await()
+    leaves.cancelAndJoin()
     maintenance.cancelAndJoin()
     context.scope.launch { claims.leave() }
     drain(context, services, presence)
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/process/InstanceList.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/process/InstanceList.kt
@@ -6,7 +6,11 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.flow.first
+import org.jujubelead.core.ids.Incarnation
+import org.jujubelead.core.ids.InstanceId
 import org.jujubelead.core.membership.InstanceRecord
+import org.jujubelead.core.membership.InstanceState
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.platform.InstanceDirectory
 import org.jujubelead.runtime.telemetry.Event
@@ -23,6 +27,13 @@
     /** The last list; empty before the first. */
     public val records: StateFlow<List<InstanceRecord>> = current.asStateFlow()
 
+    /** Waits until the platform lists [incarnation] of [instance] as leaving. */
+    public suspend fun awaitLeaving(instance: InstanceId, incarnation: Incarnation) {
+        records.first { list ->
+            list.any { it.id == instance && it.incarnation == incarnation && it.state == InstanceState.LEAVING }
+        }
+    }
+
     /** Reads the list about every [interval], and calls [onRead] with each and the time at which it was asked for. */
     public suspend fun follow(
         interval: Duration,
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/process/StopSignal.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/process/StopSignal.kt
@@ -1,4 +1,4 @@
-/** SIGTERM and SIGINT: the first starts a drain, the second stops at once. */
+/** Requests to stop: SIGTERM and SIGINT start a drain, a second one stops at once; other parts can ask for a drain. */
 package org.jujubelead.runtime.process
 
 import kotlinx.coroutines.CompletableDeferred
@@ -9,6 +9,11 @@
     /** Completed when the process has to drain. */
     public val requested: CompletableDeferred<Unit> = CompletableDeferred()
 
+    /** Asks for a drain, as the first signal does. A signal after it stops at once. */
+    public fun request() {
+        requested.complete(Unit)
+    }
+
     /** Installs the handlers. */
     public fun install() {
         listOf("TERM", "INT").forEach { name ->
