--- a/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
@@ -1,12 +1,17 @@
 /** Entry point of the experiments that `scripts/bench` runs. */
 package org.jujubelead.bench
 
+import org.jujubelead.bench.prove.FootprintExperiment
+import org.jujubelead.bench.routing.RoutingExperiment
+import org.jujubelead.bench.routing.TuningExperiment
 import kotlin.system.exitProcess
 
 private const val EXIT_USAGE = 2
 
 private val experiments: List<Experiment> = listOf(
-    org.jujubelead.bench.prove.FootprintExperiment(),
+    RoutingExperiment(),
+    TuningExperiment(),
+    FootprintExperiment(),
 )
 
 public fun main(args: Array<String>) {
