Let a drained agent deliver what it has before it stops

Ruled out: the hand-over order of the ledger (attempts in the traces were admitted before the drain). Conclusion: a stream is done when it was read, not when it was produced.

--- a/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
@@ -1,8 +1,8 @@
 /** Entry point of the experiments that `scripts/bench` runs. */
 package org.jujubelead.bench
 
-import org.jujubelead.bench.prove.FootprintExperiment
 import org.jujubelead.bench.overload.OverloadExperiment
+import org.jujubelead.bench.prove.FootprintExperiment
 import org.jujubelead.bench.routing.RoutingExperiment
 import org.jujubelead.bench.routing.TuningExperiment
 import kotlin.system.exitProcess
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
@@ -28,9 +28,9 @@
 import org.jujubelead.runtime.process.processContext
 import org.jujubelead.runtime.process.startHttp
 import org.jujubelead.runtime.process.stopGracefully
+import org.jujubelead.runtime.rpc.stopGracefully
 import org.jujubelead.runtime.telemetry.Event
 import org.jujubelead.settings.SettingsSnapshot
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -118,7 +118,7 @@
     private suspend fun serveIncarnation(signal: StopSignal) = resourceScope {
         val state = newState()
         install({ context.transport.serve(context.listen, listOf(AgentService(state))) }) { resource, _ ->
-            resource.shutdownNow().awaitTermination(1, TimeUnit.SECONDS)
+            resource.stopGracefully()
         }
         val sweeper = context.scope.launch {
             while (true) {
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
@@ -23,6 +23,9 @@
 /** A model stream that nobody reads is cancelled after this time; an entry resumes within a second. */
 private val ORPHAN_LIMIT: Duration = 10.seconds
 
+/** A reader that lost its connection comes back within this time, or not at all. */
+private val RESUME_LIMIT: Duration = 3.seconds
+
 /** A finished stream stays readable this long after its last reader left. */
 private val FINISHED_LIMIT: Duration = 30.seconds
 
@@ -126,6 +129,11 @@
         work.job.cancel()
     }
 
-    /** Number of streams whose answer was not read to its end. */
-    internal fun unread(): Int = works.values.count { it.job.isActive || it.stream.idleSince() == null }
+    /** Number of answers that are being produced, or that nobody has read to the end yet. */
+    internal fun unread(): Int {
+        val now = control.now()
+        return works.values.count { it.job.isActive || !it.stream.isTaken && it.stream.mayBeResumed(now) }
+    }
 }
+
+private fun AttemptStream.mayBeResumed(now: Timestamp): Boolean = idleSince()?.let { now - it < RESUME_LIMIT } ?: true
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AttemptStream.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AttemptStream.kt
@@ -36,6 +36,7 @@
     private val buffer = FrameBuffer<Frame>(capacity)
     private val changes = MutableStateFlow(0L)
     private var readers = 0
+    private var taken = false
 
     // A call can end before it reads anything, so a stream without readers is idle from the start.
     private var idleSince: Timestamp = createdAt
@@ -106,7 +107,10 @@
                         return@flow
                     }
 
-                    FrameRead.Closed -> return@flow
+                    FrameRead.Closed -> {
+                        synchronized(lock) { taken = true }
+                        return@flow
+                    }
                 }
             }
         } finally {
@@ -117,6 +121,9 @@
         }
     }
 
+    /** Whether a reader has taken the answer to its end. */
+    public val isTaken: Boolean get() = synchronized(lock) { taken }
+
     /** Since when nobody reads the stream; null while someone does. */
     public fun idleSince(): Timestamp? = synchronized(lock) { if (readers == 0) idleSince else null }
 
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/AdmissionGate.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/AdmissionGate.kt
@@ -51,14 +51,14 @@
     public suspend fun leave(workspace: WorkspaceId) {
         control.run { now ->
             state.finished(workspace, now)
-            admitNext()
+            admitNext(now)
         }
     }
 
     /** The capacity behind this entry changed. */
-    public fun capacityChanged(capacity: Int) {
+    public fun capacityChanged(capacity: Int, now: Timestamp) {
         state.capacityChanged(capacity)
-        admitNext()
+        admitNext(now)
     }
 
     private fun enqueue(workspace: WorkspaceId): CompletableDeferred<Unit> {
@@ -68,9 +68,9 @@
         return waiter
     }
 
-    private fun admitNext() {
+    private fun admitNext(now: Timestamp) {
         while (true) {
-            val workspace = state.next() ?: return
+            val workspace = state.next(policy, now) ?: return
             val waiter = queues[workspace]?.removeFirstOrNull() ?: return
             if (queues[workspace].isNullOrEmpty()) queues.remove(workspace)
             state.unqueued(workspace)
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
@@ -17,9 +17,9 @@
 import org.jujubelead.runtime.process.processContext
 import org.jujubelead.runtime.process.startHttp
 import org.jujubelead.runtime.process.stopGracefully
+import org.jujubelead.runtime.rpc.stopGracefully
 import org.jujubelead.runtime.telemetry.BurnRecorder
 import org.jujubelead.runtime.telemetry.Event
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -58,7 +58,7 @@
     val claims = context.claimService(incarnation)
     val peerService = PeerService(services, distributor.server, claims)
     install({ context.transport.serve(context.listen, listOf(peerService)) }) { resource, _ ->
-        resource.shutdownNow().awaitTermination(1, TimeUnit.SECONDS)
+        resource.stopGracefully()
     }
     val http = install({
         startHttp(context.http, context.metrics, readiness = { state.unreadyReason() }) {
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryState.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryState.kt
@@ -88,7 +88,7 @@
             val reported = view.candidates(set, now).mapNotNull { loads.load(it.key)?.report?.capacity }
             if (reported.isNotEmpty()) {
                 val total = reported.average() * view.candidates(set, now).size
-                gate.capacityChanged(ceil(total * QUEUED_PER_PLACE / entries).toInt().coerceAtLeast(1))
+                gate.capacityChanged(ceil(total * QUEUED_PER_PLACE / entries).toInt().coerceAtLeast(1), now)
             }
         }
     }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/rpc/Transport.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/rpc/Transport.kt
@@ -37,6 +37,7 @@
 public const val MAX_MESSAGE_BYTES: Int = 8 * 1024 * 1024
 
 private const val CONNECT_TIMEOUT_MILLIS = 2_000
+private const val STOP_GRACE_SECONDS = 2L
 
 /** Host and port. */
 public data class Address(val host: String, val port: Int) {
@@ -63,6 +64,11 @@
     public data class PlainTextOffLoopback(val host: String) : TransportError
 }
 
+/** Lets calls in progress send what they have, which a forced stop would cut, and then stops the server. */
+public fun Server.stopGracefully() {
+    if (!shutdown().awaitTermination(STOP_GRACE_SECONDS, TimeUnit.SECONDS)) shutdownNow()
+}
+
 /** Opens channels and servers with the keys of this process. */
 public class Transport private constructor(
     private val serverCredentials: ServerCredentials,
