--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
@@ -132,7 +132,7 @@
     /** Number of answers that are being produced, or that nobody has read to the end yet. */
     internal fun unread(): Int {
         val now = control.now()
-        return works.values.count { it.job.isActive || !it.stream.isTaken && it.stream.mayBeResumed(now) }
+        return works.values.count { it.job.isActive || (!it.stream.isTaken && it.stream.mayBeResumed(now)) }
     }
 }
 
