--- a/claims/src/main/kotlin/org/jujubelead/claims/ClaimService.kt
+++ b/claims/src/main/kotlin/org/jujubelead/claims/ClaimService.kt
@@ -27,6 +27,7 @@
 import org.jujubelead.platform.KeyValueStore
 import kotlin.coroutines.CoroutineContext
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -73,11 +74,16 @@
     /** Gives up all shards, after their entries in flight, and takes none again. For a drain. */
     public suspend fun leave(): Unit = withContext(context) { leaving = true }
 
-    /** Answers a claim that a peer sent here as the owner of [shard]. */
-    public suspend fun answer(shard: Int, request: ClaimRequest): ClaimAnswer = withContext(context) {
-        val inRange = shard in runners.indices && request.key.shard(settings.shards) == shard
-        if (inRange) ask(shard, request, giveUpAt()) else ClaimAnswer.NotOwner(hint = null)
-    }
+    /**
+     * Answers a claim that a peer sent here as the owner of [shard]. [timeLeft] is how long the peer waits. The answer
+     * is given after three quarters of it at the latest: one that comes too late would leave the peer uncertain.
+     */
+    public suspend fun answer(shard: Int, request: ClaimRequest, timeLeft: Duration): ClaimAnswer =
+        withContext(context) {
+            val inRange = shard in runners.indices && request.key.shard(settings.shards) == shard
+            val giveUpAt = clock.now() + minOf(timeLeft, settings.claimTimeout) * ANSWER_SHARE
+            if (inRange) ask(shard, request, giveUpAt) else ClaimAnswer.NotOwner(hint = null)
+        }
 
     /** Claims a key. Answers within [ClaimSettings.claimTimeout]. */
     public suspend fun claim(request: ClaimRequest): ClaimDecision = withContext(context) {
@@ -102,7 +108,8 @@
 
         suspend fun run(): ClaimDecision {
             var next = owners[shard]
-            while (clock.now() < giveUpAt) {
+            // A call cut off by the deadline would leave the claim uncertain, so none is started shortly before it.
+            while (giveUpAt - clock.now() >= SHORTEST_CALL) {
                 val peer = next ?: nextCandidate() ?: recordedOwner()
                 if (peer == null) {
                     asked.clear()
@@ -164,5 +171,7 @@
     private companion object {
         val PAUSE = 100.milliseconds
         val OWNER_READ_SPACING = 1.seconds
+        val SHORTEST_CALL = 100.milliseconds
+        const val ANSWER_SHARE = 0.75
     }
 }
--- a/claims/src/main/kotlin/org/jujubelead/claims/LogWriter.kt
+++ b/claims/src/main/kotlin/org/jujubelead/claims/LogWriter.kt
@@ -2,8 +2,8 @@
 package org.jujubelead.claims
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
-import com.github.michaelbull.result.map
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
@@ -48,7 +48,9 @@
         data object Unknown : Try
     }
 
-    private val writes = Pacer(settings.limits.writeSpacing, clock)
+    // Entries are spaced by the shard. Spaced here too, an entry waited after its claims were chosen, and the p99 of a
+    // claim at the peak rate was 135 ms in place of 58 ms.
+    private val chunkWrites = Pacer(settings.limits.writeSpacing, clock)
 
     /** Pause before the next entry after a failure of the service; shared by all entries of the shard. */
     private val backoff = Backoff(settings.firstBackoff, settings.maxBackoff, random)
@@ -62,7 +64,6 @@
         if (!log.hasFreeSlot) return ShardMessage.NotAppended(operation, retryAt = clock.now() + 1.seconds)
         var maybeWritten = false
         while (true) {
-            writes.pace()
             when (val result = tryAppend(log, entry, maybeWritten)) {
                 is Try.Written -> {
                     backoff.reset()
@@ -121,15 +122,14 @@
     suspend fun compact(log: ShardLog): Boolean {
         while (true) {
             val chunk = log.dueChunk() ?: break
-            writes.pace()
-            val stored = store.writeChunk(chunk, newOperation()).map { }.getOrElse { error ->
-                // The chunk follows from the log, so whoever stored it has stored the same.
-                if (error !is KeyValueError.Conflict) return false
-            }
-            log.compacted(chunk).also { stored }
+            chunkWrites.pace()
+            val error = store.writeChunk(chunk, newOperation()).getError()
+            // The chunk follows from the log, so whoever stored it has stored the same.
+            if (error != null && error !is KeyValueError.Conflict) return false
+            log.compacted(chunk)
         }
         val oldest = log.oldestChunk()?.takeIf { log.index.isExpired(it.expiresAt, clock.wall()) } ?: return true
-        writes.pace()
+        chunkWrites.pace()
         return store.deleteChunk(oldest).fold(
             success = {
                 log.dropChunk(oldest)
@@ -143,7 +143,6 @@
     suspend fun publishOwner() {
         val (version, owner) = store.readOwner().getOrElse { return }
         if (owner == self) return
-        writes.pace()
         store.writeOwner(self, version, newOperation())
     }
 }
--- a/core/src/main/kotlin/org/jujubelead/core/claim/ClaimShard.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/claim/ClaimShard.kt
@@ -28,13 +28,14 @@
  * @property maxBatch claims in one entry; at 300 bytes a claim, the most that ids of bounded length allow, an entry
  *   stays below 1 MB.
  * @property maxWaiting claims that wait for a write; more are refused.
- * @property maxClaims claims kept; more are refused, as none may be dropped early.
+ * @property maxClaims claims kept; more are refused, as none may be dropped early. At 273 bytes a claim, three shards
+ *   of one process take 24 MB of its heap of 48 MB.
  */
 public data class ShardLimits(
     val writeSpacing: Duration = 50.milliseconds,
     val maxBatch: Int = 3_000,
     val maxWaiting: Int = 20_000,
-    val maxClaims: Int = 100_000,
+    val maxClaims: Int = 30_000,
 )
 
 /** The owner's state. [newOperation] gives a different id at each call. */
--- a/core/src/main/kotlin/org/jujubelead/core/execution/ExecutionLedger.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/execution/ExecutionLedger.kt
@@ -166,11 +166,8 @@
 
             attempt in tombstones -> AttemptState.NOT_RUN
 
-            // The tombstone keeps the attempt from running from now on; whether it ran before cannot be told.
-            tick > now || !neverAdmitted(tick) -> {
-                bury(attempt, now)
-                AttemptState.UNKNOWN
-            }
+            // It may have run. A tombstone here would let the next cancel say that it did not.
+            tick > now || !neverAdmitted(tick) -> AttemptState.UNKNOWN
 
             else -> {
                 bury(attempt, now)
