--- a/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
@@ -5,6 +5,7 @@
 import org.jujubelead.bench.prove.FootprintExperiment
 import org.jujubelead.bench.routing.RoutingExperiment
 import org.jujubelead.bench.routing.TuningExperiment
+import org.jujubelead.bench.claims.ClaimExperiment
 import kotlin.system.exitProcess
 
 private const val EXIT_USAGE = 2
@@ -14,6 +15,7 @@
     TuningExperiment(),
     FootprintExperiment(),
     OverloadExperiment(),
+    ClaimExperiment(),
 )
 
 public fun main(args: Array<String>) {
