--- a/bench/src/main/kotlin/org/jujubelead/bench/placement/PlacementExperiment.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/placement/PlacementExperiment.kt
@@ -67,7 +67,10 @@
         LoadTrace.generate(kind, prefix, seed, ranks = RANKS, experts = EXPERTS, intervals = intervals)
 
     private fun printRow(f: PlacementFigures) = println(
-        "%-22s %-18s skew mean %.3f p95 %.3f max %.3f  moves %6d (+%4d warm-up)  decision ms mean %.2f max %.2f cpu %.2f".format(
+        (
+            "%-22s %-18s skew mean %.3f p95 %.3f max %.3f  moves %6d (+%4d warm-up)  " +
+                "decision ms mean %.2f max %.2f cpu %.2f"
+            ).format(
             Locale.ROOT, f.trace, f.policy, f.mean, f.p95, f.max, f.moves, f.warmUpMoves,
             f.decisionMillis.average(), f.decisionMillis.max(), f.decisionCpuMillis.max(),
         ),
--- a/core/src/main/kotlin/org/jujubelead/core/group/MapCoordinator.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/group/MapCoordinator.kt
@@ -16,6 +16,9 @@
 /** Epochs of one fence; a lease holder makes far fewer changes. */
 private const val EPOCHS_PER_FENCE = 1L shl 20
 
+private val prepareRefusals: Set<MapRefusal?> = setOf(MapRefusal.EPOCH_ENDED, MapRefusal.BUSY)
+private val armRefusals: Set<MapRefusal?> = setOf(MapRefusal.STEP_PASSED, MapRefusal.NOT_PREPARED)
+
 /** State of a coordinator. Create it with [takeOver] and feed it with [on]. */
 public class MapCoordinator internal constructor(
     private val group: GroupId,
@@ -204,7 +207,7 @@
     }
 
     private fun prepared(phase: CoordinatorPhase.Preparing, now: Timestamp): MapCoordinator {
-        val refused = views.any { it.report?.refusal in setOf(MapRefusal.EPOCH_ENDED, MapRefusal.BUSY) }
+        val refused = views.any { it.report?.refusal in prepareRefusals }
         return when {
             refused || now >= phase.deadline -> abandon(phase.map)
 
@@ -224,7 +227,7 @@
 
     private fun armed(phase: CoordinatorPhase.Arming, now: Timestamp): MapCoordinator {
         val all = MapPhase.Armed(epoch = phase.map.epoch, switchStep = phase.switchStep)
-        val refused = views.any { it.report?.refusal in setOf(MapRefusal.STEP_PASSED, MapRefusal.NOT_PREPARED) }
+        val refused = views.any { it.report?.refusal in armRefusals }
         return when {
             views.all { it.phase == all } -> copy(
                 phase = CoordinatorPhase.Committing(map = phase.map, switchStep = phase.switchStep),
@@ -259,8 +262,10 @@
         val mayOrder = { o: MapOrder ->
             phase !is CoordinatorPhase.Stopped && (o != MapOrder.Inspect || holdsLease(now))
         }
+        val warm = phase is CoordinatorPhase.Forming &&
+            views.all { it.bound != null && (!it.isOutside() || it.isPrepared(record.committed.epoch)) }
         val due = views.map { view ->
-            val needed = orderFor(view)
+            val needed = orderFor(view, warm)
             val again = if (needed == null) settings.probeEvery else settings.retryAfter
             val order = (needed ?: MapOrder.Inspect).takeIf(mayOrder)
             view to order.takeIf { view.sentAt == null || now - view.sentAt >= again }
@@ -283,7 +288,7 @@
     )
 
     /** The order that brings the rank closer to the phase's end; null when only a probe is due from time to time. */
-    private fun orderFor(view: RankView): MapOrder? = when {
+    private fun orderFor(view: RankView, warm: Boolean): MapOrder? = when {
         view.bound == null -> MapOrder.Inspect
 
         else -> when (phase) {
@@ -301,18 +306,17 @@
 
             CoordinatorPhase.Aborting -> view.pending?.let { MapOrder.Abort(it) }
 
-            is CoordinatorPhase.Forming -> formingOrder(view, phase)
+            is CoordinatorPhase.Forming -> formingOrder(view, phase, warm)
 
             else -> null
         }
     }
 
-    private fun formingOrder(view: RankView, phase: CoordinatorPhase.Forming): MapOrder? {
+    private fun formingOrder(view: RankView, phase: CoordinatorPhase.Forming, warm: Boolean): MapOrder? {
         val map = record.committed
-        val fresh = views.filter { it.bound == null || it.isOutside() }
         return when {
             view.generation == record.generation -> null
-            !view.isOutside() -> MapOrder.Prepare(map).takeIf { fresh.all { it.isPrepared(map.epoch) } }
+            !view.isOutside() -> MapOrder.Prepare(map).takeIf { warm }
             view.report?.refusal == MapRefusal.NOT_PREPARED -> MapOrder.Prepare(map)
             phase.joined.isNotEmpty() -> MapOrder.Commit(epoch = map.epoch, switchStep = 0)
             else -> view.prepareOrder(map)
