Measure what a map change costs in messages and bytes

Cause: the control cost of a group was not known. Ruled out: counting by formula; the number of repeats depends on load time and on the switch margin.

--- a/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
@@ -1,6 +1,7 @@
 /** Entry point of the experiments that `scripts/bench` runs. */
 package org.jujubelead.bench
 
+import org.jujubelead.bench.placement.MapCostExperiment
 import org.jujubelead.bench.placement.PlacementExperiment
 import kotlin.system.exitProcess
 
@@ -8,6 +9,7 @@
 
 private val experiments: List<Experiment> = listOf(
     PlacementExperiment(),
+    MapCostExperiment(),
 )
 
 public fun main(args: Array<String>) {
