--- a/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
@@ -6,6 +6,8 @@
 import org.jujubelead.bench.routing.RoutingExperiment
 import org.jujubelead.bench.routing.TuningExperiment
 import org.jujubelead.bench.claims.ClaimExperiment
+import org.jujubelead.bench.placement.MapCostExperiment
+import org.jujubelead.bench.placement.PlacementExperiment
 import kotlin.system.exitProcess
 
 private const val EXIT_USAGE = 2
@@ -16,6 +18,8 @@
     FootprintExperiment(),
     OverloadExperiment(),
     ClaimExperiment(),
+    PlacementExperiment(),
+    MapCostExperiment(),
 )
 
 public fun main(args: Array<String>) {
