--- a/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
@@ -1,6 +1,7 @@
 /** Entry point of the experiments that `scripts/bench` runs. */
 package org.jujubelead.bench
 
+import org.jujubelead.bench.membership.MembershipExperiment
 import org.jujubelead.bench.overload.OverloadExperiment
 import org.jujubelead.bench.prove.FootprintExperiment
 import org.jujubelead.bench.routing.RoutingExperiment
@@ -20,6 +21,7 @@
     ClaimExperiment(),
     PlacementExperiment(),
     MapCostExperiment(),
+    MembershipExperiment(),
 )
 
 public fun main(args: Array<String>) {
