--- a/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
@@ -2,6 +2,7 @@
 package org.jujubelead.bench
 
 import org.jujubelead.bench.prove.FootprintExperiment
+import org.jujubelead.bench.overload.OverloadExperiment
 import org.jujubelead.bench.routing.RoutingExperiment
 import org.jujubelead.bench.routing.TuningExperiment
 import kotlin.system.exitProcess
@@ -12,6 +13,7 @@
     RoutingExperiment(),
     TuningExperiment(),
     FootprintExperiment(),
+    OverloadExperiment(),
 )
 
 public fun main(args: Array<String>) {
