Spare relays, avoid reads at apply, and measure the distribution

Ruled out: fewer buckets (the root gets smaller and each bucket larger by as much); digests less often (the second is part of the design). Change: in zones with at least six entries, agents and digests use the entries that are not relays; the root lists 8 recent operations; the update for the subscribers of an entry is made once; an edit on top of the accepted revision compares branch hashes in place of reading one value per branch.

--- a/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
@@ -1,11 +1,12 @@
 /** Entry point of the experiments that `scripts/bench` runs. */
 package org.jujubelead.bench
 
+import org.jujubelead.bench.settings.SettingsExperiment
 import kotlin.system.exitProcess
 
 private const val EXIT_USAGE = 2
 
-private val experiments: List<Experiment> = listOf()
+private val experiments: List<Experiment> = listOf(SettingsExperiment())
 
 public fun main(args: Array<String>) {
     val seedIndex = args.indexOf("--seed")
--- a/cli/src/main/kotlin/org/jujubelead/cli/settings/SettingsApply.kt
+++ b/cli/src/main/kotlin/org/jujubelead/cli/settings/SettingsApply.kt
@@ -2,11 +2,9 @@
 package org.jujubelead.cli.settings
 
 import org.jujubelead.cli.ExitCode
-import org.jujubelead.core.ids.OperationId
 import org.jujubelead.core.ids.Revision
 import org.jujubelead.platform.HttpKeyValueStore
 import org.jujubelead.platform.KeyValueStore
-import org.jujubelead.settings.Acceptance
 import org.jujubelead.settings.SettingsEdit
 import org.jujubelead.settings.SettingsStore
 import org.jujubelead.settings.SettingsYaml
@@ -15,13 +13,12 @@
 import java.io.File
 import java.io.PrintStream
 import java.time.Instant
-import java.util.UUID
 
 public class SettingsApply(
     out: PrintStream,
     err: PrintStream,
     connect: (String) -> KeyValueStore = ::HttpKeyValueStore,
-) : StoreCommand(out, err, connect) {
+) : ChangeCommand(out, err, connect) {
     public constructor() : this(System.out, System.err)
 
     @Argument(metaVar = "FILE", required = true, usage = "YAML file with the whole tree")
@@ -37,23 +34,13 @@
     @Option(name = "--replace", forbids = ["--base"], usage = "put the file in place of whatever is accepted now")
     private var replace: Boolean = false
 
-    @Option(name = "--author", metaVar = "NAME", usage = "who makes the change")
-    private var author: String = System.getProperty("user.name").orEmpty()
-
     @Option(name = "--summary", metaVar = "TEXT", usage = "reason for the change, for the history")
     private var summary: String? = null
 
-    @Option(
-        name = "--operation",
-        metaVar = "ID",
-        usage = "id of an earlier attempt of the same change, to find its outcome",
-    )
-    private var operation: String = UUID.randomUUID().toString()
-
     override suspend fun run(store: SettingsStore): Int {
         val text = file.readText()
         val edit = SettingsEdit(
-            operation = OperationId(operation),
+            operation = operation,
             author = author,
             summary = summary ?: file.name,
             at = Instant.now(),
@@ -77,10 +64,3 @@
         return given?.takeUnless { replace } ?: current
     }
 }
-
-internal fun describe(acceptance: Acceptance): String =
-    if (acceptance.changed) {
-        "accepted as revision ${acceptance.revision}"
-    } else {
-        "nothing to change; revision ${acceptance.revision} stays in force"
-    }
--- a/settings/src/main/kotlin/org/jujubelead/settings/RelaySelection.kt
+++ b/settings/src/main/kotlin/org/jujubelead/settings/RelaySelection.kt
@@ -32,8 +32,14 @@
     private val byZone: Map<ZoneId, List<InstanceRecord>> =
         entries.groupBy { it.zone }.mapValues { (zone, members) -> ranked(zone.value, members) }
 
-    /** Entries to exchange digests with, all of them or those of one zone. */
-    public fun entries(zone: ZoneId? = null): List<InstanceRecord> = if (zone == null) entries else ranked(zone)
+    private val digestPeers: List<InstanceRecord> = byZone.values.flatMap { spared(it) }
+
+    /** All live entries. */
+    public fun entries(): List<InstanceRecord> = entries
+
+    /** Entries to exchange digests with: those of [zone], or those of all zones. */
+    public fun digestPeers(zone: ZoneId? = null): List<InstanceRecord> =
+        if (zone == null) digestPeers else spared(ranked(zone))
 
     /** Relays of [zone]. */
     public fun relays(zone: ZoneId): List<InstanceRecord> = ranked(zone).take(RELAYS_PER_ZONE)
@@ -48,14 +54,17 @@
         return when {
             position in 0 until RELAYS_PER_ZONE -> emptyList()
             position >= 0 -> levelAbove(position).take(UPSTREAMS).map { zone[it] }
-            else -> ranked(instance.id.value, agentUpstreams(zone)).take(UPSTREAMS)
+            else -> ranked(instance.id.value, spared(zone)).take(UPSTREAMS)
         }
     }
 
     private fun ranked(zone: ZoneId): List<InstanceRecord> = byZone[zone].orEmpty()
 
-    /** Relays have the root and the branches to read, so agents use the other entries where there are enough. */
-    private fun agentUpstreams(zone: List<InstanceRecord>): List<InstanceRecord> =
+    /**
+     * The entries of a zone that agents subscribe to and digests go to. Relays have the root and the branches to read,
+     * some 5 KB/s at full size, so the others are used where there are enough.
+     */
+    private fun spared(zone: List<InstanceRecord>): List<InstanceRecord> =
         if (zone.size >= RELAYS_PER_ZONE * UPSTREAMS) zone.drop(RELAYS_PER_ZONE) else zone.take(RELAYS_PER_ZONE)
 }
 
--- a/settings/src/main/kotlin/org/jujubelead/settings/SettingsDistributor.kt
+++ b/settings/src/main/kotlin/org/jujubelead/settings/SettingsDistributor.kt
@@ -275,8 +275,8 @@
     /** An entry of the own zone or of any zone, with equal chance: a zone that is cut off has only its own. */
     private fun randomPeer(): InstanceRecord? {
         val selection = selection()
-        val own = selection.entries(self.zone).filter { it.id != self.id }
-        val all = selection.entries().filter { it.id != self.id }
+        val own = selection.digestPeers(self.zone).filter { it.id != self.id }
+        val all = selection.digestPeers().filter { it.id != self.id }
         return (if (own.isNotEmpty() && random.nextBoolean()) own else all).randomOrNull(random)
     }
 
--- a/settings/src/main/kotlin/org/jujubelead/settings/SettingsServer.kt
+++ b/settings/src/main/kotlin/org/jujubelead/settings/SettingsServer.kt
@@ -35,7 +35,7 @@
         var known = Revision(request.knownRevision)
         current.filterNotNull().collect { state ->
             if (state.revision > known) {
-                emit(noticeFor(known, state).toUpdate())
+                emit(updateFor(known, state))
                 known = state.revision
             }
         }
@@ -64,8 +64,15 @@
         return reply.build()
     }
 
-    private fun noticeFor(known: Revision, state: SettingsState): SettingsNotice =
-        earlier(known)?.let { changeNotice(it, state) } ?: fullNotice(state)
+    /** The last update that was made; the subscribers of an entry nearly always need the same one. */
+    @Volatile
+    private var latest: Pair<Revision, SettingsUpdate>? = null
+
+    private fun updateFor(known: Revision, state: SettingsState): SettingsUpdate {
+        latest?.takeIf { it.first == known && it.second.revision == state.revision.value }?.let { return it.second }
+        val notice = earlier(known)?.let { changeNotice(it, state) } ?: fullNotice(state)
+        return notice.toUpdate().also { latest = known to it }
+    }
 }
 
 internal fun SettingsNotice.toUpdate(): SettingsUpdate =
--- a/settings/src/main/kotlin/org/jujubelead/settings/SettingsStore.kt
+++ b/settings/src/main/kotlin/org/jujubelead/settings/SettingsStore.kt
@@ -52,8 +52,8 @@
 /** An accepted change. [changed] is false when the tree was the accepted one already and nothing was written. */
 public data class Acceptance(val revision: Revision, val changed: Boolean = true)
 
-/** Accepted changes listed in the root record. Older ones are found in the history. */
-public const val RECENT_OPERATIONS: Int = 16
+/** Accepted changes listed in the root record, which every relay reads. Older ones are found in the history. */
+public const val RECENT_OPERATIONS: Int = 8
 
 /** Revisions kept by default. One takes some 20 KB at full size, so that all take 20 MB. */
 public const val DEFAULT_HISTORY: Int = 1_000
--- a/settings/src/main/kotlin/org/jujubelead/settings/SettingsWriter.kt
+++ b/settings/src/main/kotlin/org/jujubelead/settings/SettingsWriter.kt
@@ -30,6 +30,8 @@
     private sealed interface Outcome {
         data class Accepted(val revision: Revision) : Outcome
 
+        data class Unchanged(val revision: Revision) : Outcome
+
         /** Someone else's change was accepted first. */
         data object Superseded : Outcome
 
@@ -41,11 +43,10 @@
         repeat(attempts) {
             val stored = store.readRoot().bind()
             stored?.root?.let { accepted(it).bind() }?.let { return@resultOf Acceptance(it) }
-            val current = stored?.let { store.readTree(it.root).bind() }
-            val tree = merged(current).bind()
-            if (current != null && tree == current.tree) return@resultOf Acceptance(current.revision, changed = false)
+            val tree = merged(stored?.root).bind()
             when (val outcome = accept(stored, tree)) {
                 is Outcome.Accepted -> return@resultOf Acceptance(outcome.revision)
+                is Outcome.Unchanged -> return@resultOf Acceptance(outcome.revision, changed = false)
                 is Outcome.Failed -> Err(outcome.error).bind()
                 Outcome.Superseded -> delay(backoff.next())
             }
@@ -53,13 +54,14 @@
         raise(SettingsStoreError.Contended)
     }
 
-    private suspend fun merged(current: SettingsSnapshot?): Result<SettingsTree, SettingsStoreError> = resultOf {
-        val tree = if (current == null || edit.base == current.revision) {
+    /** The edit on top of the [current] revision, whose branches are read only when the edit has another base. */
+    private suspend fun merged(current: SettingsRoot?): Result<SettingsTree, SettingsStoreError> = resultOf {
+        val tree = if (current == null || edit.base?.value == current.revision) {
             edit.tree
         } else {
             val base = edit.base?.let { store.read(it).bind().tree } ?: SettingsTree.getDefaultInstance()
-            merge(base = base, accepted = current.tree, proposed = edit.tree)
-                .mapError { SettingsStoreError.Conflict(current = current.revision, fields = it) }.bind()
+            merge(base = base, accepted = store.readTree(current).bind().tree, proposed = edit.tree)
+                .mapError { SettingsStoreError.Conflict(current = Revision(current.revision), fields = it) }.bind()
         }
         val faults = SettingsValidator.validate(tree)
         if (faults.isNotEmpty()) raise(SettingsStoreError.Invalid(faults))
@@ -70,6 +72,7 @@
         val revision = (stored?.root?.revision ?: 0L) + 1
         val refs = writeBranches(stored?.root, tree, revision).getOrElse { return Outcome.Failed(it) }
         if (stored != null) {
+            if (refs == stored.root.branchesMap) return Outcome.Unchanged(Revision(stored.root.revision))
             create(historyKey(stored.root.revision), stored.root.canonicalBytes()).getOrElse {
                 return Outcome.Failed(it)
             }
