--- a/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
@@ -9,6 +9,7 @@
 import org.jujubelead.bench.claims.ClaimExperiment
 import org.jujubelead.bench.placement.MapCostExperiment
 import org.jujubelead.bench.placement.PlacementExperiment
+import org.jujubelead.bench.settings.SettingsExperiment
 import kotlin.system.exitProcess
 
 private const val EXIT_USAGE = 2
@@ -23,6 +24,7 @@
     MapCostExperiment(),
     MembershipExperiment(),
 )
+private val experiments: List<Experiment> = listOf(SettingsExperiment())
 
 public fun main(args: Array<String>) {
     val seedIndex = args.indexOf("--seed")
