--- a/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/Main.kt
@@ -1,14 +1,14 @@
 /** Entry point of the experiments that `scripts/bench` runs. */
 package org.jujubelead.bench
 
+import org.jujubelead.bench.claims.ClaimExperiment
 import org.jujubelead.bench.membership.MembershipExperiment
 import org.jujubelead.bench.overload.OverloadExperiment
+import org.jujubelead.bench.placement.MapCostExperiment
+import org.jujubelead.bench.placement.PlacementExperiment
 import org.jujubelead.bench.prove.FootprintExperiment
 import org.jujubelead.bench.routing.RoutingExperiment
 import org.jujubelead.bench.routing.TuningExperiment
-import org.jujubelead.bench.claims.ClaimExperiment
-import org.jujubelead.bench.placement.MapCostExperiment
-import org.jujubelead.bench.placement.PlacementExperiment
 import org.jujubelead.bench.settings.SettingsExperiment
 import kotlin.system.exitProcess
 
@@ -23,8 +23,8 @@
     PlacementExperiment(),
     MapCostExperiment(),
     MembershipExperiment(),
+    SettingsExperiment(),
 )
-private val experiments: List<Experiment> = listOf(SettingsExperiment())
 
 public fun main(args: Array<String>) {
     val seedIndex = args.indexOf("--seed")
--- a/bench/src/main/kotlin/org/jujubelead/bench/prove/StopScenario.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/prove/StopScenario.kt
@@ -11,6 +11,7 @@
 
 private const val BEFORE_STOP_MS = 1_000L
 private const val AFTER_STOP_MS = 4_500L
+
 /** The drain limit of the settings is 10 s. */
 private const val EXIT_LIMIT_MS = 11_000L
 private const val SETTLE_MS = 500L
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/PeerService.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/PeerService.kt
@@ -2,6 +2,7 @@
 package org.jujubelead.runtime.entry
 
 import com.google.protobuf.ByteString
+import io.grpc.Context
 import io.grpc.Status
 import io.grpc.StatusException
 import kotlinx.coroutines.flow.Flow
@@ -23,9 +24,15 @@
 import org.jujubelead.protocol.TargetStatus
 import org.jujubelead.settings.SettingsServer
 import java.nio.ByteBuffer
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/** Time for a claim whose caller set no deadline. */
+private val CLAIM_LIMIT: Duration = 1.seconds
 
 /** Windows of the burn report: a short one shows what goes wrong now, a long one what it has cost. */
 private val BURN_WINDOWS: List<Duration> = listOf(5.minutes, 1.hours)
@@ -47,7 +54,8 @@
     override suspend fun claim(request: ClaimRequest): ClaimReply {
         val claim = request.toRequest()
             ?: throw StatusException(Status.INVALID_ARGUMENT.withDescription("the claim is malformed"))
-        return claims.answer(request.shard, claim).toMessage()
+        val timeLeft = Context.current().deadline?.timeRemaining(TimeUnit.MILLISECONDS)?.milliseconds ?: CLAIM_LIMIT
+        return claims.answer(request.shard, claim, timeLeft).toMessage()
     }
 
     override suspend fun explain(request: ExplainRequest): ExplainReply {
