Compact an entry above the bound of a chunk alone

Cause: review of the compaction. An entry larger than the bound of a chunk gave a chunk of no entries, and an exception that ends the shard's runner. Ruled out: entries above 1 MB; 3,000 claims with distinct ids of 64 characters fit, now that ids are printable ASCII of bounded length. Change: a chunk has at least one entry; ids in claims are checked. Before: an exception with a bound of 10 bytes. After: the largest entry and its chunk stay below 1 MB and are read back equal. What failed first in the new test was its own tick, which was not in whole milliseconds. Conclusion: compaction cannot stop on a large entry.

--- a/claims/src/main/kotlin/org/jujubelead/claims/ShardLog.kt
+++ b/claims/src/main/kotlin/org/jujubelead/claims/ShardLog.kt
@@ -48,7 +48,8 @@
         var count = 0
         var bytes = 0
         for (u in uncompacted) {
-            if (count == settings.compactEntries || bytes + u.bytes > settings.compactBytes) return chunkOf(count)
+            val full = count == settings.compactEntries || bytes + u.bytes > settings.compactBytes
+            if (full && count > 0) return chunkOf(count)
             count += 1
             bytes += u.bytes
         }
--- a/core/src/main/kotlin/org/jujubelead/core/claim/Claim.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/claim/Claim.kt
@@ -15,7 +15,8 @@
  * @property incarnation incarnation of that agent.
  * @property tick latest tick of that agent known *before* the claim was asked for, on the agent's clock, in whole
  *   milliseconds. Dispatch and cancel carry it.
- * @throws IllegalArgumentException when an id is longer than [MAX_ID_LENGTH], which bounds the size of log entries.
+ * @throws IllegalArgumentException when an id is longer than [MAX_ID_LENGTH] or has other characters than printable
+ *   ASCII. This bounds the size of log entries.
  */
 public data class ClaimedAttempt(
     val attempt: AttemptId,
@@ -24,8 +25,10 @@
     val tick: Timestamp,
 ) {
     init {
-        val longest = maxOf(attempt.value.length, target.value.length, incarnation.value.length)
-        require(longest <= MAX_ID_LENGTH) { "an id has $longest characters; $MAX_ID_LENGTH are allowed" }
+        for (id in listOf(attempt.value, target.value, incarnation.value)) {
+            require(id.length <= MAX_ID_LENGTH) { "an id has ${id.length} characters; $MAX_ID_LENGTH are allowed" }
+            require(id.all { it in '!'..'~' }) { "an id has other characters than printable ASCII" }
+        }
     }
 
     public companion object {
