--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
@@ -52,8 +52,10 @@
     /** Revision of the settings in force here. */
     @Volatile public var settingsRevision: Long = 0
 
-    /** Builds the frames of this agent. */
-    public val frames: FrameFactory = FrameFactory(load = ::loadMessage, tickMillis = { control.now().toTick() })
+    /** Builds refusals outside any stream. */
+    public val frames: FrameFactory = newFrames()
+
+    private fun newFrames() = FrameFactory(load = ::loadMessage, tickMillis = { control.now().toTick() })
 
     /** Attempts whose work goes on. */
     public val running: Int get() = works.values.count { it.job.isActive }
@@ -74,7 +76,7 @@
             attempt = attempt,
             keepUntilExpiry = keeps,
             capacity = STREAM_CAPACITY,
-            frames = frames,
+            frames = newFrames(),
             createdAt = control.now(),
         )
         val job = traffic.launch(start = kotlinx.coroutines.CoroutineStart.LAZY) {
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryState.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryState.kt
@@ -33,15 +33,11 @@
 import org.jujubelead.settings.SettingsScope
 import org.jujubelead.settings.SettingsSnapshot
 import java.util.concurrent.ConcurrentHashMap
-import kotlin.math.ceil
 import kotlin.random.Random
 
 /** Requests an entry has in progress before the capacity of the targets is known. */
 private const val INITIAL_CAPACITY = 64
 
-/** Requests sent to targets for each place in their batches, so that a free place is taken at once. */
-private const val QUEUED_PER_PLACE = 1.25
-
 /**
  * @property seed differs between entries, so that their choices differ.
  * @property scope scope of updates that traffic threads hand to the control thread.
@@ -82,14 +78,10 @@
         )
     }
 
-    /** Adjusts the gates to the capacity of the targets, of which this entry may use one part in [entries]. */
+    /** Adjusts the gates to the free places of the targets, which this entry shares with all [entries]. */
     public fun adjustCapacity(entries: Int, now: Timestamp) {
         gates.forEach { (set, gate) ->
-            val reported = view.candidates(set, now).mapNotNull { loads.load(it.key)?.report?.capacity }
-            if (reported.isNotEmpty()) {
-                val total = reported.average() * view.candidates(set, now).size
-                gate.capacityChanged(ceil(total * QUEUED_PER_PLACE / entries).toInt().coerceAtLeast(1), now)
-            }
+            loads.capacity(set, entries, now)?.let { gate.capacityChanged(it.coerceAtLeast(1), now) }
         }
     }
 
@@ -136,16 +128,15 @@
             )
         }
 
-    /** Takes the load and tick that came with a frame. */
+    /** Takes the load and tick of a frame that carries them. */
     public fun observe(target: Target, frame: Frame) {
+        if (!frame.hasLoad()) return
         ticks.learn(target.key, frame.tickMs)
         val report = LoadReport(
             running = frame.load.running,
             waiting = frame.load.waiting,
             capacity = frame.load.capacity,
         )
-        // The first frame and the end of an answer are often enough; tokens in between carry no news.
-        if (frame.sequence != 0L && frame.contentCase != Frame.ContentCase.END) return
         scope.launch(control.dispatcher) {
             val now = control.now()
             loads.reported(target.key, report, now)
