Accept Inspect on a rank that has passed the switch step

A rank whose limit took effect too late answered every order with STEP_PASSED, also the successor's Inspect, which therefore counted as refused; the successor waited for that rank for ever while the others stood at their limit. Ruled out: deciding without the rank, which could abort a committed change. Change: only Arm is refused with STEP_PASSED. Also corrected: a comment stated a map size that was not measured.

--- a/core/src/main/kotlin/org/jujubelead/core/group/RankMapState.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/group/RankMapState.kt
@@ -154,7 +154,7 @@
             else -> null
         },
         step = engine?.startedStep ?: -1,
-        refusal = refusal ?: MapRefusal.STEP_PASSED.takeIf { stepPassed() },
+        refusal = refusal,
     )
 
     private fun stepPassed() = goal is Goal.Limit && engine != null && engine.startedStep >= goal.switchStep
@@ -204,10 +204,15 @@
     }
 
     private fun arm(order: MapOrder.Arm, engine: RankState): Pair<RankMapState, MapRefusal?> = when {
-        goal is Goal.Limit && goal.epoch == order.epoch && goal.switchStep == order.switchStep -> this to null
+        goal is Goal.Limit && goal.epoch == order.epoch && goal.switchStep == order.switchStep ->
+            this to MapRefusal.STEP_PASSED.takeIf { stepPassed() }
+
         goal is Goal.Switch && goal.epoch == order.epoch -> this to null
+
         goal !is Goal.Hold || goal.map.epoch != order.epoch || !holdsFor(goal) -> this to MapRefusal.NOT_PREPARED
+
         engine.startedStep >= order.switchStep -> this to MapRefusal.STEP_PASSED
+
         else -> copy(goal = Goal.Limit(epoch = order.epoch, switchStep = order.switchStep)) to null
     }
 
--- a/core/src/main/kotlin/org/jujubelead/core/placement/ExpertPlacement.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/placement/ExpertPlacement.kt
@@ -1,6 +1,6 @@
 /**
  * Which rank holds which experts. All layers of a group share one placement, so that one switch step covers the whole
- * model and the map stays below 40 KB at 128 ranks.
+ * model and the map does not grow with the number of layers.
  */
 package org.jujubelead.core.placement
 
--- a/core/src/test/kotlin/org/jujubelead/core/group/RankMapStateTest.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/group/RankMapStateTest.kt
@@ -95,7 +95,10 @@
         expectThat(answered.call?.order).isEqualTo(EngineOrder.Limit(null))
     }
 
-    /** Guards against a rank that counts as armed although it has started the switch step. */
+    /**
+     * Guards against a rank that counts as armed although it has started the switch step, and against an Inspect that
+     * is refused for it: a successor would never learn that the change can be aborted.
+     */
     @Test
     fun `a rank that has passed the switch step refuses`() {
         started(prepared)
@@ -106,6 +109,7 @@
             .isEqualTo(MapRefusal.STEP_PASSED)
         expectThat(order(MapOrder.Commit(epoch = map.epoch, switchStep = 12)).report?.refusal)
             .isEqualTo(MapRefusal.NOT_ARMED)
+        expectThat(order(MapOrder.Inspect, fence = 2).report?.refusal).isNull()
     }
 
     /** Guards against a delayed prepare that leaves a rank armed with no one to decide. */
--- a/standins/src/test/kotlin/org/jujubelead/standins/ranks/OneMapTest.kt
+++ b/standins/src/test/kotlin/org/jujubelead/standins/ranks/OneMapTest.kt
@@ -18,6 +18,9 @@
     private fun world(seed: Long, size: Int) =
         GroupWorld(seed = seed, size = size, faults = faultSets[(seed % faultSets.size).toInt()])
 
+    /** Seeds outside the range that once failed: a refused Inspect left a group stalled. */
+    private val foundSeeds = listOf(1_329L, 1_659L)
+
     private class Outcome(val failure: String?, val steps: Long)
 
     private fun outcome(seed: Long, size: Int): Outcome {
@@ -31,7 +34,7 @@
         )
     }
 
-    private fun check(seeds: LongRange, size: (Long) -> Int) {
+    private fun check(seeds: Iterable<Long>, size: (Long) -> Int) {
         val outcomes = seeds.toList().parallelStream().map { outcome(seed = it, size = size(it)) }.toList()
         println("${outcomes.size} histories, slowest recovery ${outcomes.maxOf { it.steps }} steps")
         expectThat(outcomes.mapNotNull { it.failure }).isEmpty()
@@ -39,7 +42,7 @@
 
     /** Guards against steps with mixed maps, steps that wait for weights, and groups that stay stalled. */
     @Test
-    fun `every step uses one map under all faults alone and in pairs`() = check(0L until SEEDS) {
+    fun `every step uses one map under all faults alone and in pairs`() = check((0L until SEEDS) + foundSeeds) {
         4 + (it % 13).toInt()
     }
 
