core: Let a maintenance window take a zone's targets out at once

Entries learn of a drain from the agent's answer, the list or the settings, but the membership view had no event for the settings, so targets of a zone under maintenance got work until their agents refused it. The event ZonesDraining names all zones that drain now; their targets are no candidates until a later event leaves them out. List reads keep the state.

--- a/core/src/main/kotlin/org/jujubelead/core/membership/MembershipEvent.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/membership/MembershipEvent.kt
@@ -1,6 +1,7 @@
 /** What an entry learns about targets, from the platform's list and from its own traffic. */
 package org.jujubelead.core.membership
 
+import org.jujubelead.core.ids.ZoneId
 import org.jujubelead.core.time.Timestamp
 
 /** How an attempt or a probe failed. */
@@ -24,6 +25,13 @@
      */
     public data class ListRead(val records: List<InstanceRecord>, val requestedAt: Timestamp) : MembershipEvent
 
+    /**
+     * The zones that drain for a maintenance window changed, by the settings in force.
+     *
+     * @property zones all zones that drain now.
+     */
+    public data class ZonesDraining(val zones: Set<ZoneId>) : MembershipEvent
+
     /** Evidence about one target. */
     public sealed interface OfTarget : MembershipEvent {
         public val target: TargetKey
--- a/core/src/main/kotlin/org/jujubelead/core/membership/MembershipView.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/membership/MembershipView.kt
@@ -1,12 +1,14 @@
 /**
  * The targets that an entry may choose: the platform's lagging list combined with the entry's own evidence.
  *
- * A target is a candidate when the list shows it as live, its agent has not said that it drains, and it is not ejected.
+ * A target is a candidate when the list shows it as live, neither its agent nor the settings of its zone say that it
+ * drains, and it is not ejected.
  * A suspect that the cap on ejections keeps in remains a candidate. Values are immutable; an update that changes no
  * candidate shares everything but one chunk of probe times with its predecessor.
  */
 package org.jujubelead.core.membership
 
+import org.jujubelead.core.ids.ZoneId
 import org.jujubelead.core.time.Timestamp
 
 public class MembershipView private constructor(
@@ -16,6 +18,7 @@
     private val sets: Map<TargetSetId, TargetSet>,
     private val drains: Map<TargetKey, AnnouncedDrain>,
     private val leavingSeen: Map<TargetKey, Timestamp>,
+    private val drainingZones: Set<ZoneId>,
     private val probeDue: DueTimes,
     private val listRequestedAt: Timestamp?,
 ) {
@@ -26,6 +29,7 @@
         sets = emptyMap(),
         drains = emptyMap(),
         leavingSeen = emptyMap(),
+        drainingZones = emptySet(),
         probeDue = DueTimes.of(0) { Timestamp.ZERO },
         listRequestedAt = null,
     )
@@ -50,6 +54,7 @@
 
     public fun update(event: MembershipEvent, now: Timestamp): MembershipView = when (event) {
         is MembershipEvent.ListRead -> listRead(event, now)
+        is MembershipEvent.ZonesDraining -> if (event.zones == drainingZones) this else zonesDraining(event.zones)
         is MembershipEvent.OfTarget -> indexOf[event.target]?.let { ofTarget(event, targets[it], now) } ?: this
     }
 
@@ -141,10 +146,19 @@
             val evidence = old?.evidence?.filterKeys { it in newIndex }.orEmpty()
             // Readers keep what they derived from a list of candidates for as long as it is the same list.
             old?.takeIf { it.listed == members && it.evidence == evidence && newDrains.keys == drains.keys }
-                ?: TargetSet(members, evidence, newDrains, policy)
+                ?: TargetSet(members, evidence, newDrains, drainingZones, policy)
         }
         val due = DueTimes.of(newTargets.size) { i -> indexOf[newTargets[i].key]?.let { probeDue[it] } ?: now }
-        return MembershipView(policy, newTargets, newIndex, newSets, newDrains, newLeaving, due, event.requestedAt)
+        return MembershipView(
+            policy, newTargets, newIndex, newSets, newDrains, newLeaving, drainingZones, due, event.requestedAt,
+        )
+    }
+
+    private fun zonesDraining(zones: Set<ZoneId>): MembershipView {
+        val newSets = sets.mapValues { (_, set) -> TargetSet(set.listed, set.evidence, drains, zones, policy) }
+        return MembershipView(
+            policy, targets, indexOf, newSets, drains, leavingSeen, zones, probeDue, listRequestedAt,
+        )
     }
 
     private fun evidenceOf(target: Target): Evidence? = sets.getValue(target.set).evidence[target.key]
@@ -155,13 +169,13 @@
     private fun withEvidence(target: Target, evidence: Evidence?): MembershipView {
         val set = sets.getValue(target.set)
         val changed = if (evidence == null) set.evidence - target.key else set.evidence + (target.key to evidence)
-        return copy(sets = sets + (target.set to TargetSet(set.listed, changed, drains, policy)))
+        return copy(sets = sets + (target.set to TargetSet(set.listed, changed, drains, drainingZones, policy)))
     }
 
     private fun withDrains(drains: Map<TargetKey, AnnouncedDrain>, changed: Set<TargetSetId>): MembershipView {
         val rebuilt = changed.associateWith { id ->
             val set = sets.getValue(id)
-            TargetSet(set.listed, set.evidence, drains, policy)
+            TargetSet(set.listed, set.evidence, drains, drainingZones, policy)
         }
         return copy(drains = drains, sets = sets + rebuilt)
     }
@@ -170,5 +184,7 @@
         sets: Map<TargetSetId, TargetSet> = this.sets,
         drains: Map<TargetKey, AnnouncedDrain> = this.drains,
         probeDue: DueTimes = this.probeDue,
-    ): MembershipView = MembershipView(policy, targets, indexOf, sets, drains, leavingSeen, probeDue, listRequestedAt)
+    ): MembershipView = MembershipView(
+        policy, targets, indexOf, sets, drains, leavingSeen, drainingZones, probeDue, listRequestedAt,
+    )
 }
--- a/core/src/main/kotlin/org/jujubelead/core/membership/TargetSet.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/membership/TargetSet.kt
@@ -6,6 +6,8 @@
  */
 package org.jujubelead.core.membership
 
+import org.jujubelead.core.ids.ZoneId
+
 /** One target of the list and whether the list says it is leaving. */
 internal data class ListedTarget(val target: Target, val leaving: Boolean)
 
@@ -13,10 +15,11 @@
     val listed: List<ListedTarget>,
     val evidence: Map<TargetKey, Evidence>,
     drains: Map<TargetKey, AnnouncedDrain>,
+    drainingZones: Set<ZoneId>,
     policy: MembershipPolicy,
 ) {
     private val live: List<Target> = listed
-        .filter { !it.leaving && it.target.key !in drains }
+        .filter { !it.leaving && it.target.key !in drains && it.target.zone !in drainingZones }
         .map { it.target }
 
     /** Suspects that are kept out. The worst come first when the cap does not allow all of them. */
--- a/core/src/test/kotlin/org/jujubelead/core/membership/MembershipViewTest.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/membership/MembershipViewTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.property.arbitrary.pair
 import io.kotest.property.checkAll
 import kotlinx.coroutines.runBlocking
+import org.jujubelead.core.ids.ZoneId
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -53,6 +54,16 @@
         expectThat(reread.names()).containsExactly("t1")
     }
 
+    /** Guards against new work for a zone under maintenance, and against the zone staying out when its window ends. */
+    @Test
+    fun `targets of a draining zone are no candidates until the drain ends`() {
+        val drained = view(3).after(MembershipEvent.ZonesDraining(setOf(ZoneId("z1"))), 1)
+        expectThat(drained.names()).containsExactly("t0", "t2")
+        val reread = drained.after(MembershipEvent.ListRead(List(4) { record(it) }, seconds(2)), 2)
+        expectThat(reread.names()).containsExactly("t0", "t2", "t3")
+        expectThat(reread.after(MembershipEvent.ZonesDraining(emptySet()), 3).names()).hasSize(4)
+    }
+
     /** Guards against a probe answer that was sent before the drain and arrives after it. */
     @Test
     fun `only a later answer of the agent ends its drain`() {
