--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/ClaimMessages.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/ClaimMessages.kt
@@ -21,6 +21,7 @@
 
 private const val KEY_BYTES = 16
 private const val REQUEST_HASH_BYTES = 8
+private val PRINTABLE_ASCII = ' '..'~'
 
 internal fun ClaimRequest.toMessage(shard: Int): ClaimRequestMessage = ClaimRequestMessage.newBuilder()
     .setShard(shard)
@@ -36,9 +37,8 @@
 
 /** The request in the message; null when it is malformed. */
 internal fun ClaimRequestMessage.toRequest(): ClaimRequest? {
-    val malformed = keyHash.size() != KEY_BYTES || requestHash.size() != REQUEST_HASH_BYTES || attemptId.isEmpty() ||
-        maxOf(attemptId.length, target.length, incarnation.length) > ClaimedAttempt.MAX_ID_LENGTH
-    if (malformed) return null
+    val hashesFit = keyHash.size() == KEY_BYTES && requestHash.size() == REQUEST_HASH_BYTES
+    if (!hashesFit || !listOf(attemptId, target, incarnation).all(::isClaimId)) return null
     val key = ByteBuffer.wrap(keyHash.toByteArray())
     return ClaimRequest(
         key = ClaimKey(high = key.getLong(), low = key.getLong()),
@@ -49,6 +49,9 @@
     )
 }
 
+private fun isClaimId(text: String) =
+    text.isNotEmpty() && text.length <= ClaimedAttempt.MAX_ID_LENGTH && text.all { it in PRINTABLE_ASCII }
+
 internal fun ClaimAnswer.toMessage(): ClaimReply {
     val reply = ClaimReply.newBuilder()
     when (this) {
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
@@ -2,10 +2,12 @@
 package org.jujubelead.runtime.entry
 
 import arrow.fx.coroutines.resourceScope
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.jujubelead.claims.ClaimService
 import org.jujubelead.core.membership.InstanceRole
 import org.jujubelead.core.membership.InstanceState
 import org.jujubelead.protocol.ProcessSettings
@@ -27,6 +29,7 @@
 /** Time for the platform's balancer to see that this entry is not ready, before it is counted as idle. */
 private val UNREADY_NOTICE: Duration = 1.seconds
 private val DRAIN_POLL: Duration = 50.milliseconds
+private val CLAIMS_RESTART: Duration = 5.seconds
 
 /** Exit code of a stop that cut requests. */
 private const val EXIT_CUT = 3
@@ -79,7 +82,7 @@
             context.metrics.settingsRevision.set(snapshot.revision.value.toDouble())
         }
     }
-    context.scope.launch { claims.run() }
+    context.scope.launch { keepClaiming(claims) }
     val presence = EntryPresence(context, state, incarnation)
     Event.PROCESS_STARTED.log("role=entry instance=${context.instance} listen=${context.listen} http=${context.http}")
     val maintenance = context.scope.launch { presence.followMaintenance() }
@@ -96,6 +99,20 @@
     Event.PROCESS_STOPPED.log("instance=${context.instance}")
 }
 
+/** A record that cannot be decoded ends the claim service; it starts again, and keyed calls are refused meanwhile. */
+private suspend fun keepClaiming(claims: ClaimService) {
+    while (true) {
+        try {
+            claims.run()
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            Event.CLAIMS_UNAVAILABLE.log("the claim service failed and starts again", e)
+        }
+        delay(CLAIMS_RESTART)
+    }
+}
+
 private fun EntryState.unreadyReason(): String? = when {
     draining -> "draining"
     settings == null -> "no settings"
