Keep a draining agent open until all entries know, and mend five faults found by tests

Unit tests of the runtime showed five more faults: a cancelled caller kept its admission place, durations of attempts were never recorded, malformed claim ids threw, and burn rings were never removed. Ruled out: a graceful gRPC stop alone (calls sent before the entry sees the GOAWAY still fail). Change: an agent serves refusals for 3 s after the drain starts, the time within which every entry learns of it; admission decisions survive cancellation and give the place back; work is timed; ids are checked; idle rings are dropped.

--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
@@ -44,6 +44,12 @@
 /** Answers of plain calls are kept for callers that repeat an idempotency key. */
 private val KEEP_ANSWERS: Duration = 30.minutes
 
+/**
+ * Time in which every entry learns of the drain. Until then calls are on their way, and each needs the answer that it did
+ * not run; a closed connection would leave its outcome unknown.
+ */
+private val NOTICE_TIME: Duration = 3.seconds
+
 /** Time for the last frames to leave after the work has ended. */
 private val LAST_FRAMES: Duration = 300.milliseconds
 private val SETTINGS_POLL: Duration = 50.milliseconds
@@ -161,7 +167,8 @@
             context.directory.announceUntilTaken(context.agentRecord(state.incarnation, InstanceState.LEAVING))
         }
         val limit = settings?.forZone(context.zone)?.drainLimitS?.seconds ?: DEFAULT_DRAIN_LIMIT
-        val idle = withTimeoutOrNull(limit) {
+        val idle = withTimeoutOrNull(maxOf(limit, NOTICE_TIME + LAST_FRAMES)) {
+            delay(NOTICE_TIME)
             while (state.unread() > 0 || state.control.run { state.ledger.active } > 0) delay(DRAIN_POLL)
             delay(LAST_FRAMES)
             true
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentState.kt
@@ -2,6 +2,7 @@
 package org.jujubelead.runtime.agent
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import org.jujubelead.core.execution.ExecutionLedger
@@ -11,6 +12,7 @@
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.protocol.ExecuteRequest
 import org.jujubelead.protocol.Load
+import org.jujubelead.protocol.RefusalReason
 import org.jujubelead.runtime.process.ControlThread
 import org.jujubelead.runtime.telemetry.Event
 import java.util.concurrent.ConcurrentHashMap
@@ -79,9 +81,9 @@
             frames = newFrames(),
             createdAt = control.now(),
         )
-        val job = traffic.launch(start = kotlinx.coroutines.CoroutineStart.LAZY) {
-            target.run(request, stream, this@AgentState)
-        }
+        val job = traffic.launch(start = CoroutineStart.LAZY) { work(request, stream) }
+        // A cancellation before the work begins would leave the stream open for ever.
+        job.invokeOnCompletion { stream.refuse(RefusalReason.CANCELLED, notRun = false, detail = "stopped") }
         works[attempt] = Work(stream = stream, cancellable = request.hasGeneration(), job = job)
         job.start()
         return stream
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/AdmissionGate.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/AdmissionGate.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.jujubelead.core.admission.AdmissionDecision
@@ -31,20 +33,47 @@
 ) {
     private val queues = HashMap<WorkspaceId, ArrayDeque<CompletableDeferred<Unit>>>()
 
-    /** Waits until the request may be sent, or says why it may not. */
+    /** Waits until the request may be sent, or says why it may not. A caller that is cancelled keeps no place. */
     public suspend fun enter(request: AdmissionRequest): Admission {
-        var waiter: CompletableDeferred<Unit>? = null
-        val decision = control.run { now ->
-            policy.decide(request, state, now).also {
-                if (it is AdmissionDecision.Admit) state.started(request.workspace)
-                if (it is AdmissionDecision.Queue) waiter = enqueue(request.workspace)
+        // A caller cancelled between the decision and its resumption would lose the decision, and its place for good.
+        val (decision, waiter) = withContext(NonCancellable) { control.run { now -> decide(request, now) } }
+        return givingUpWhenCancelled(request.workspace, decision, waiter) {
+            currentCoroutineContext().ensureActive()
+            when (decision) {
+                AdmissionDecision.Admit -> Admission.Admitted
+                is AdmissionDecision.Refuse -> Admission.Refused(decision.reason, decision.retryAt)
+                is AdmissionDecision.Queue -> await(request, waiter, decision.until)
             }
         }
-        return when (decision) {
-            AdmissionDecision.Admit -> Admission.Admitted
-            is AdmissionDecision.Refuse -> Admission.Refused(decision.reason, decision.retryAt)
-            is AdmissionDecision.Queue -> await(request, waiter!!, decision.until)
+    }
+
+    private fun decide(request: AdmissionRequest, now: Timestamp): Pair<AdmissionDecision, CompletableDeferred<Unit>> {
+        val waiter = CompletableDeferred<Unit>()
+        val decision = policy.decide(request, state, now)
+        when (decision) {
+            AdmissionDecision.Admit -> state.started(request.workspace)
+            is AdmissionDecision.Queue -> enqueue(request.workspace, waiter)
+            is AdmissionDecision.Refuse -> Unit
+        }
+        return decision to waiter
+    }
+
+    private suspend fun <T> givingUpWhenCancelled(
+        workspace: WorkspaceId,
+        decision: AdmissionDecision,
+        waiter: CompletableDeferred<Unit>,
+        block: suspend () -> T,
+    ): T = try {
+        block()
+    } catch (e: CancellationException) {
+        withContext(NonCancellable) {
+            when (decision) {
+                AdmissionDecision.Admit -> leave(workspace)
+                is AdmissionDecision.Queue -> if (!withdraw(workspace, waiter)) leave(workspace)
+                is AdmissionDecision.Refuse -> Unit
+            }
         }
+        throw e
     }
 
     /** Ends an admitted request. */
@@ -61,11 +90,9 @@
         admitNext(now)
     }
 
-    private fun enqueue(workspace: WorkspaceId): CompletableDeferred<Unit> {
-        val waiter = CompletableDeferred<Unit>()
+    private fun enqueue(workspace: WorkspaceId, waiter: CompletableDeferred<Unit>) {
         state.queued(workspace)
         queues.getOrPut(workspace) { ArrayDeque() }.addLast(waiter)
-        return waiter
     }
 
     private fun admitNext(now: Timestamp) {
@@ -84,24 +111,18 @@
         waiter: CompletableDeferred<Unit>,
         until: Timestamp,
     ): Admission {
-        try {
-            withTimeoutOrNull(until - control.now()) { waiter.await() }
-        } catch (e: CancellationException) {
-            withContext(NonCancellable) {
-                if (!withdraw(request.workspace, waiter)) leave(request.workspace)
-            }
-            throw e
+        withTimeoutOrNull(until - control.now()) { waiter.await() }
+        if (waiter.isCompleted || !withContext(NonCancellable) { withdraw(request.workspace, waiter) }) {
+            return Admission.Admitted
         }
-        if (!withdraw(request.workspace, waiter)) return Admission.Admitted
         return Admission.Refused(AdmissionRefusal.DEADLINE, control.now())
     }
 
-    /** Takes a waiter out of its queue; false when it was admitted before. */
+    /** Takes a waiter out of its queue; false when it was admitted before. Calling it again changes nothing. */
     private suspend fun withdraw(workspace: WorkspaceId, waiter: CompletableDeferred<Unit>): Boolean = control.run {
         if (waiter.isCompleted) return@run false
-        queues[workspace]?.remove(waiter)
+        if (queues[workspace]?.remove(waiter) == true) state.unqueued(workspace)
         if (queues[workspace].isNullOrEmpty()) queues.remove(workspace)
-        state.unqueued(workspace)
         true
     }
 }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/ClaimMessages.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/ClaimMessages.kt
@@ -21,7 +21,7 @@
 
 private const val KEY_BYTES = 16
 private const val REQUEST_HASH_BYTES = 8
-private val PRINTABLE_ASCII = ' '..'~'
+private val PRINTABLE_ASCII = '!'..'~'
 
 internal fun ClaimRequest.toMessage(shard: Int): ClaimRequestMessage = ClaimRequestMessage.newBuilder()
     .setShard(shard)
@@ -38,7 +38,9 @@
 /** The request in the message; null when it is malformed. */
 internal fun ClaimRequestMessage.toRequest(): ClaimRequest? {
     val hashesFit = keyHash.size() == KEY_BYTES && requestHash.size() == REQUEST_HASH_BYTES
-    if (!hashesFit || !listOf(attemptId, target, incarnation).all(::isClaimId)) return null
+    val idsFit = listOf(attemptId, target, incarnation).all(::isClaimId) &&
+        (replacesAttempt.isEmpty() || isClaimId(replacesAttempt))
+    if (!hashesFit || !idsFit) return null
     val key = ByteBuffer.wrap(keyHash.toByteArray())
     return ClaimRequest(
         key = ClaimKey(high = key.getLong(), low = key.getLong()),
@@ -70,8 +72,8 @@
 
 /** The answer in the message; null when it is malformed. */
 internal fun ClaimReply.toAnswer(): ClaimAnswer? = when (result) {
-    ClaimResult.GRANTED -> ClaimAnswer.Decided(ClaimDecision.Granted(attempt()))
-    ClaimResult.HELD -> ClaimAnswer.Decided(ClaimDecision.Held(attempt()))
+    ClaimResult.GRANTED -> attempt()?.let { ClaimAnswer.Decided(ClaimDecision.Granted(it)) }
+    ClaimResult.HELD -> attempt()?.let { ClaimAnswer.Decided(ClaimDecision.Held(it)) }
     ClaimResult.MISMATCH -> ClaimAnswer.Decided(ClaimDecision.Mismatch)
     ClaimResult.UNAVAILABLE -> ClaimAnswer.Decided(ClaimDecision.Unavailable)
     ClaimResult.UNCERTAIN -> ClaimAnswer.Decided(ClaimDecision.Uncertain)
@@ -85,7 +87,12 @@
         .setIncarnation(claimed.incarnation.value)
         .setTickMs(claimed.tick.toTick())
 
-private fun ClaimReply.attempt() = claimedAttempt(attemptId, target, incarnation, tickMs)
+private fun ClaimReply.attempt(): ClaimedAttempt? =
+    if (listOf(attemptId, target, incarnation).all(::isClaimId)) {
+        claimedAttempt(attemptId, target, incarnation, tickMs)
+    } else {
+        null
+    }
 
 private fun claimedAttempt(attempt: String, target: String, incarnation: String, tickMs: Long) = ClaimedAttempt(
     attempt = AttemptId(attempt),
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryServices.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryServices.kt
@@ -35,8 +35,8 @@
             val gate = state.gate(set)
             val admission = gate.enter(AdmissionRequest(workspace = context.workspace, deadline = context.deadline))
             if (admission is Admission.Refused) return Err(refusal(admission))
-            state.requestStarted(context.workspace)
             try {
+                state.requestStarted(context.workspace)
                 return Ok(block())
             } finally {
                 withContext(NonCancellable) { gate.leave(context.workspace) }
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/telemetry/BurnRecorder.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/telemetry/BurnRecorder.kt
@@ -10,6 +10,7 @@
 import org.HdrHistogram.Histogram
 import org.jujubelead.core.ids.WorkspaceId
 import org.jujubelead.core.time.Timestamp
+import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 
@@ -56,11 +57,15 @@
     }
 
     /** Workspaces with requests in the last hour. */
-    public fun workspaces(): Set<WorkspaceId> = synchronized(rings) { rings.keys.toSet() }
+    public fun workspaces(): Set<WorkspaceId> = synchronized(rings) {
+        val oldest = now().micros / MICROS_PER_MINUTE - BUCKETS + 1
+        rings.values.removeIf { it.last().minute < oldest }
+        rings.keys.toSet()
+    }
 
-    /** Adds up the last [window] of a workspace. */
+    /** Adds up the last [window] of a workspace, in whole minutes. */
     public fun sum(workspace: WorkspaceId, window: Duration): BurnSum = synchronized(rings) {
-        val first = now().micros / MICROS_PER_MINUTE - (window / BUCKET_LENGTH).toLong() + 1
+        val first = now().micros / MICROS_PER_MINUTE - ceil(window / BUCKET_LENGTH).toLong() + 1
         val latency = Histogram(MAX_LATENCY_MILLIS, SIGNIFICANT_DIGITS)
         val buckets = rings[workspace].orEmpty().filter { it.minute >= first }
         buckets.forEach { latency.add(it.latency) }
--- a/runtime/src/test/kotlin/org/jujubelead/runtime/agent/AgentServiceTest.kt
+++ b/runtime/src/test/kotlin/org/jujubelead/runtime/agent/AgentServiceTest.kt
@@ -21,7 +21,6 @@
 import org.jujubelead.protocol.ResumeRequest
 import org.jujubelead.runtime.process.ControlThread
 import org.junit.jupiter.api.AfterEach
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -132,7 +131,6 @@
 
     /** Guards against a drain before maintenance that starts too late because no durations were recorded. */
     @Test
-    @Tag("known-red")
     fun `the durations of attempts are recorded for the drain lead`() = test {
         repeat(100) { execute(dispatch(attempt = "a$it")) }
         while (state.running > 0) delay(1.milliseconds)
--- a/runtime/src/test/kotlin/org/jujubelead/runtime/entry/AdmissionGateTest.kt
+++ b/runtime/src/test/kotlin/org/jujubelead/runtime/entry/AdmissionGateTest.kt
@@ -15,7 +15,6 @@
 import org.jujubelead.core.ids.WorkspaceId
 import org.jujubelead.runtime.process.ControlThread
 import org.junit.jupiter.api.AfterEach
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
@@ -83,7 +82,6 @@
 
     /** Guards against a place that is lost for good when the caller leaves just after the admission decision. */
     @Test
-    @Tag("known-red")
     fun `a caller that leaves between its admission and its resumption holds no place`() = test {
         val caller = launch { enter() }
         yield()
--- a/runtime/src/test/kotlin/org/jujubelead/runtime/entry/ClaimMessagesTest.kt
+++ b/runtime/src/test/kotlin/org/jujubelead/runtime/entry/ClaimMessagesTest.kt
@@ -13,7 +13,6 @@
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.protocol.ClaimReply
 import org.jujubelead.protocol.ClaimResult
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -73,7 +72,6 @@
 
     /** Guards against an exception in the owner's handler for a message it should refuse. */
     @Test
-    @Tag("known-red")
     fun `a request with an unprintable id gives null`() {
         expectThat(REQUEST.toMessage(shard = 0).toBuilder().setAttemptId("a b").build().toRequest()).isNull()
     }
@@ -87,7 +85,6 @@
 
     /** Guards against an exception that leaves a caller without an outcome. */
     @Test
-    @Tag("known-red")
     fun `a granted answer with a malformed attempt gives null`() {
         val reply = ClaimReply.newBuilder().setResult(ClaimResult.GRANTED).setAttemptId("a b")
         expectThat(reply.build().toAnswer()).isNull()
--- a/runtime/src/test/kotlin/org/jujubelead/runtime/telemetry/BurnRecorderTest.kt
+++ b/runtime/src/test/kotlin/org/jujubelead/runtime/telemetry/BurnRecorderTest.kt
@@ -2,7 +2,6 @@
 
 import org.jujubelead.core.ids.WorkspaceId
 import org.jujubelead.core.time.Timestamp
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
@@ -55,7 +54,6 @@
 
     /** Guards against memory and metrics for workspaces that no longer send requests. */
     @Test
-    @Tag("known-red")
     fun `a workspace without requests in the last hour is not listed`() {
         record()
         now += 2.hours
