--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
@@ -45,7 +45,8 @@
 private val KEEP_ANSWERS: Duration = 30.minutes
 
 /**
- * Time in which every entry learns of the drain. Until then calls are on their way, and each needs the answer that it did
+ * Time in which every entry learns of the drain. Until then calls are on their way, and each needs the answer that it
+ * did
  * not run; a closed connection would leave its outcome unknown.
  */
 private val NOTICE_TIME: Duration = 3.seconds
