Answer defects as problems with an outcome

Cause: an exception inside a request ended as a bare status 500 without an outcome, although the code internal-error was documented. Ruled out: a plugin for status pages (an answer that has begun has to be broken off, not replaced). Change: both routes turn a defect into internal-error with outcome unknown. Before: no outcome. Conclusion: every answer names its outcome.

--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Callers.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/Callers.kt
@@ -14,12 +14,15 @@
 import io.ktor.server.response.header
 import io.ktor.server.response.respondText
 import io.ktor.utils.io.readRemaining
+import kotlinx.coroutines.CancellationException
 import kotlinx.io.readByteArray
 import org.jujubelead.core.ids.RequestId
 import org.jujubelead.core.ids.WorkspaceId
 import org.jujubelead.core.time.Timestamp
+import org.jujubelead.runtime.telemetry.Event
 import org.jujubelead.settings.EffectiveSettings
 import org.jujubelead.settings.SettingsSnapshot
+import java.io.IOException
 import java.security.MessageDigest
 import java.time.Clock
 import java.time.Instant
@@ -100,6 +103,27 @@
     )
 }
 
+/** Runs [handle]; a defect is logged and answered as a problem, since the caller has to learn an outcome. */
+internal suspend fun guarded(call: ApplicationCall, request: RequestId, handle: suspend () -> Unit) {
+    try {
+        handle()
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: IOException) {
+        // The caller has left while its answer was written; there is nobody to answer.
+        throw e
+    } catch (e: Exception) {
+        respondDefect(call, request, e)
+    }
+}
+
+/** An answer that has begun is broken off, so that the caller does not take it for a whole one. */
+private suspend fun respondDefect(call: ApplicationCall, request: RequestId, defect: Exception) {
+    Event.REQUEST_FAILED.log("request=$request", defect)
+    if (call.response.isCommitted) throw defect
+    call.respondProblem(Problem(ProblemCode.INTERNAL, "the request failed inside this instance"), request)
+}
+
 internal fun newRequestId(): RequestId = RequestId(UUID.randomUUID().toString())
 
 /** SHA-256 in lower-case hexadecimal. */
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/ChatRoutes.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/ChatRoutes.kt
@@ -87,6 +87,10 @@
     private suspend fun complete(call: ApplicationCall) {
         val id = newRequestId()
         call.response.header(REQUEST_ID_HEADER, id.value)
+        guarded(call, id) { complete(call, id) }
+    }
+
+    private suspend fun complete(call: ApplicationCall, id: RequestId) {
         val job = accept(call, id).getOrElse {
             entry.countRefusal("model", it)
             return call.respondProblem(it, id)
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/ServiceRoutes.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/ServiceRoutes.kt
@@ -111,6 +111,10 @@
     private suspend fun serve(call: ApplicationCall) {
         val id = newRequestId()
         call.response.header(REQUEST_ID_HEADER, id.value)
+        guarded(call, id) { serve(call, id) }
+    }
+
+    private suspend fun serve(call: ApplicationCall, id: RequestId) {
         val job = accept(call, id).getOrElse {
             entry.countRefusal("service", it)
             return call.respondProblem(it, id)
