Exit with 2 when a settings file has faults

Ruled out: a code of its own for faults in files. Before: exit code 1 for 4 faults. Conclusion: one line more in the contract of exit codes.

--- a/cli/src/main/kotlin/org/jujubelead/cli/settings/StoreCommand.kt
+++ b/cli/src/main/kotlin/org/jujubelead/cli/settings/StoreCommand.kt
@@ -35,7 +35,7 @@
 
 /** Reads and checks a file; the faults of the file are the message of the failure. */
 internal fun parseFile(text: String, file: File): SettingsTree = SettingsParser.parse(text, file.path)
-    .getOrElse { faults -> throw CommandFailure(describe(faults)) }
+    .getOrElse { faults -> throw CommandFailure(describe(faults), ExitCode.USAGE) }
 
 internal fun describe(faults: List<SettingsFault>): String =
     faults.joinToString("\n") + "\n${faults.size} fault${if (faults.size == 1) "" else "s"}"
