--- a/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/agent/AgentProcess.kt
@@ -28,6 +28,7 @@
 import org.jujubelead.runtime.process.processContext
 import org.jujubelead.runtime.process.startHttp
 import org.jujubelead.runtime.process.stopGracefully
+import org.jujubelead.runtime.process.stopNow
 import org.jujubelead.runtime.rpc.stopGracefully
 import org.jujubelead.runtime.telemetry.Event
 import org.jujubelead.settings.SettingsSnapshot
@@ -56,7 +57,6 @@
 private val SETTINGS_POLL: Duration = 50.milliseconds
 private val DEFAULT_DRAIN_LIMIT: Duration = 30.seconds
 private const val DEFAULT_CAPACITY = 8
-private const val EXIT_CUT = 3
 
 /** Runs an agent; returns after a drain. */
 public suspend fun runAgent(settings: ProcessSettings): Unit = resourceScope {
@@ -180,11 +180,7 @@
     }
 
     /** Ends the process at once. */
-    fun stopNow() {
-        val open = current?.unread() ?: 0
-        Event.DRAIN_CUT.log("instance=${context.instance} cut=$open")
-        Runtime.getRuntime().halt(if (open > 0) EXIT_CUT else 0)
-    }
+    fun stopNow() = stopNow(instance = context.instance, open = current?.unread() ?: 0)
 }
 
 /** Runs [block] until it ends or a stop is requested; null in the second case. */
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryLoops.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryLoops.kt
@@ -37,11 +37,6 @@
 ) {
     private val control = state.control
 
-    /** Entries in the last list, with their addresses. */
-    @Volatile
-    var entries: List<InstanceRecord> = emptyList()
-        private set
-
     fun start(scope: CoroutineScope) {
         scope.launch { instances.follow(LIST_INTERVAL, ::apply) }
         scope.launch { every(PROBE_INTERVAL) { probe(scope) } }
@@ -62,8 +57,7 @@
             state.ticks.retain(known.mapTo(HashSet()) { it.key })
             channels.retain(known.mapTo(HashSet()) { it.key.instance })
             peers.retain(records.mapTo(HashSet()) { it.address() })
-            entries = records.liveEntries()
-            state.adjustCapacity(entries = entries.size.coerceAtLeast(1), now = now)
+            state.adjustCapacity(entries = records.liveEntries().size.coerceAtLeast(1), now = now)
         }
     }
 
--- a/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
+++ b/runtime/src/main/kotlin/org/jujubelead/runtime/entry/EntryProcess.kt
@@ -19,6 +19,7 @@
 import org.jujubelead.runtime.process.processContext
 import org.jujubelead.runtime.process.startHttp
 import org.jujubelead.runtime.process.stopGracefully
+import org.jujubelead.runtime.process.stopNow
 import org.jujubelead.runtime.rpc.stopGracefully
 import org.jujubelead.runtime.telemetry.BurnRecorder
 import org.jujubelead.runtime.telemetry.Event
@@ -31,9 +32,6 @@
 private val DRAIN_POLL: Duration = 50.milliseconds
 private val CLAIMS_RESTART: Duration = 5.seconds
 
-/** Exit code of a stop that cut requests. */
-private const val EXIT_CUT = 3
-
 /** Runs an entry; returns after a drain. */
 public suspend fun runEntry(settings: ProcessSettings): Unit = resourceScope {
     val context = processContext(settings)
@@ -134,8 +132,5 @@
     Event.DRAIN_FINISHED.log("instance=${context.instance}")
 }
 
-private fun stopNow(services: EntryServices) {
-    val open = services.inProgress
-    Event.DRAIN_CUT.log("instance=${services.state.instance} cut=$open")
-    Runtime.getRuntime().halt(if (open > 0) EXIT_CUT else 0)
-}
+private fun stopNow(services: EntryServices) =
+    stopNow(instance = services.state.instance, open = services.inProgress)
