Change expert maps by an agent beside each replica and an elected coordinator

Ruled out: a coordinator that orders and counts from afar (priced, and counts pause the group); fencing by the replicas' order count (a trial showed that it stays 0 through orders about maps); taking a change back (a late disarm could split the ranks). Change: rank agents report and pass orders on; one of them is elected under a lease; MapChange prepares, proves leadership, holds, arms all and releases, and completes whatever reached the hold; MapPlanner reuses the placement search with a limit of new experts a rank.

--- a/core/src/main/kotlin/org/jujubelead/core/placement/PlacementSearch.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/placement/PlacementSearch.kt
@@ -22,12 +22,14 @@
     private val loads: DoubleArray,
     private val capacities: DoubleArray,
     private val slotsPerRank: Int,
+    private val mostNewPerRank: Int = Int.MAX_VALUE,
 ) {
     private class Change(val rank: Int, val slot: Int, val expert: Int, val otherRank: Int, val otherSlot: Int) {
         val moves get() = if (otherRank == EMPTY) 1 else 2
     }
 
     private val ranks = capacities.size
+    private val original = start.ranks.map { it.toHashSet() }
     private val slots = Array(ranks) { r -> IntArray(slotsPerRank) { start.ranks[r].getOrElse(it) { EMPTY } } }
     private val holders = Array(loads.size) { ArrayList<Int>() }
     private val times = DoubleArray(ranks)
@@ -74,7 +76,7 @@
         var best: Change? = null
         var bestGain = minGain
         fun consider(change: Change, after: Double) {
-            if (change.moves > left) return
+            if (change.moves > left || !loadable(change)) return
             val gain = (before - norm(after)) / change.moves
             if (gain > bestGain) {
                 bestGain = gain
@@ -92,6 +94,24 @@
         return best
     }
 
+    /** True when no rank would have to load more experts than it may in one change of the map. */
+    private fun loadable(change: Change): Boolean {
+        if (mostNewPerRank == Int.MAX_VALUE) return true
+        if (newAfter(change.rank, change.slot, change.expert) > mostNewPerRank) return false
+        if (change.otherRank == EMPTY) return true
+        val moved = slots[change.rank][change.slot]
+        return newAfter(change.otherRank, change.otherSlot, moved) <= mostNewPerRank
+    }
+
+    private fun newAfter(rank: Int, slot: Int, expert: Int): Int {
+        var count = 0
+        for (s in slots[rank].indices) {
+            val e = if (s == slot) expert else slots[rank][s]
+            if (e != EMPTY && e !in original[rank]) count++
+        }
+        return count
+    }
+
     private inline fun replaceWithAny(r: Int, s: Int, consider: (Change, Double) -> Unit) {
         for (other in loads.indices) {
             if (r !in holders[other]) consider(Change(r, s, other, EMPTY, EMPTY), powerAfterLoad(r, s, other))
@@ -169,3 +189,30 @@
         power = powers.sum()
     }
 }
+
+/**
+ * Improves [start] by single changes.
+ *
+ * @param budget expert copies that may be loaded in all.
+ * @param minGain least gain in the relative time of the slowest rank per loaded copy.
+ * @param mostNewPerRank expert copies that one rank may load.
+ */
+public fun improvePlacement(
+    start: ExpertPlacement,
+    loads: List<Double>,
+    capacities: List<Double>,
+    slotsPerRank: Int,
+    budget: Int,
+    minGain: Double,
+    mostNewPerRank: Int,
+): ExpertPlacement {
+    val search = PlacementSearch(
+        start = start,
+        loads = loads.toDoubleArray(),
+        capacities = capacities.toDoubleArray(),
+        slotsPerRank = slotsPerRank,
+        mostNewPerRank = mostNewPerRank,
+    )
+    search.improve(budget = budget, minGain = minGain)
+    return search.placement
+}
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
@@ -7,17 +7,16 @@
 package org.jujubelead.gateway
 
 import io.netty.channel.nio.NioEventLoopGroup
-import io.netty.handler.codec.http.HttpResponseStatus
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.time.Timestamp
-import org.jujubelead.gateway.caller.StatusAnswer
 import org.jujubelead.gateway.caller.Traffic
 import org.jujubelead.gateway.caller.callerPipeline
-import org.jujubelead.gateway.caller.listen
-import org.jujubelead.gateway.caller.statusPipeline
+import org.jujubelead.gateway.net.HttpAnswer
+import org.jujubelead.gateway.net.HttpCaller
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.net.listen
+import org.jujubelead.gateway.net.servicePipeline
 import org.jujubelead.gateway.settings.ProcessDescription
-import org.jujubelead.gateway.store.StoreClient
 import org.jujubelead.gateway.store.StoreFollower
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.GatewayMetrics
@@ -41,16 +40,16 @@
         val startedAt = ProcessClock.now()
         val callers = requireNotNull(description.callers) { "a gateway needs the address for callers" }
         val readiness = requireNotNull(description.readiness) { "a gateway needs the address for readiness" }
-        val store = StoreClient(description.store, control.next(), timeout = STORE_TIMEOUT)
+        val store = HttpCaller(description.store, control.next(), timeout = STORE_TIMEOUT)
         val follower = StoreFollower(store, control.next(), log) { state ->
             traffic.state = state
             network.next().execute(traffic::replicasChanged)
         }
         follower.start()
-        listen(readiness, network) { statusPipeline(mapOf("/ready" to ::readiness)) }
+        listen(readiness, network) { servicePipeline(mapOf("/ready" to { _, answer -> answer(readiness()) })) }
         listen(callers, network) { callerPipeline(traffic) }
         listen(Endpoint(description.machine, description.internalPorts.first), network) {
-            statusPipeline(mapOf("/metrics" to { StatusAnswer(HttpResponseStatus.OK, metrics.text()) }))
+            servicePipeline(mapOf("/metrics" to { _, answer -> answer(HttpAnswer(STATUS_OK, metrics.text())) }))
         }
         network.next().execute(traffic::start)
         log.log(
@@ -63,7 +62,7 @@
         stopped.await()
     }
 
-    private fun readiness(): StatusAnswer {
+    private fun readiness(): HttpAnswer {
         val state = traffic.state
         val age = state.age(ProcessClock.read())
         val serving =
@@ -78,14 +77,7 @@
                 "configurationAgeMillis" to age.takeIf { it.isFinite() }?.inWholeMilliseconds,
             )
         }
-        return if (ready) {
-            StatusAnswer(
-                HttpResponseStatus.OK,
-                "ready\n",
-            )
-        } else {
-            StatusAnswer(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n")
-        }
+        return if (ready) HttpAnswer(STATUS_OK, "ready\n") else HttpAnswer(STATUS_UNAVAILABLE, "not ready\n")
     }
 
     /** Begins to stop. */
@@ -123,6 +115,8 @@
 
         /** Leaves time to end before the kill. */
         const val GRACE_SHARE = 0.93
+        const val STATUS_OK = 200
+        const val STATUS_UNAVAILABLE = 503
         const val DRAIN_CHECK_MILLIS = 50L
         const val LAST_WRITES_MILLIS = 30L
     }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/Main.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/Main.kt
@@ -2,6 +2,7 @@
 package org.jujubelead.gateway
 
 import com.github.michaelbull.result.getOrElse
+import org.jujubelead.gateway.rank.RankAgentProcess
 import org.jujubelead.gateway.settings.readProcessDescription
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
@@ -29,6 +30,12 @@
             process.run()
         }
 
+        "rank-agent" -> {
+            val process = RankAgentProcess(description, log)
+            Signal.handle(Signal("TERM")) { process.stop() }
+            Signal.handle(Signal("HUP")) { log.log(LogEvent.SETTINGS_RELOADED, "path" to path) }
+            process.run()
+        }
         else -> usage("unknown role \"${args.firstOrNull().orEmpty()}\"")
     }
     log.flush()
@@ -37,6 +44,6 @@
 
 private fun usage(message: String): Nothing {
     System.err.println("jujubelead: $message")
-    System.err.println("usage: jujubelead gateway [SETTINGS]")
+    System.err.println("usage: jujubelead gateway|rank-agent [SETTINGS]")
     exitProcess(EXIT_USAGE)
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/StoreClient.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpCaller.kt
@@ -1,10 +1,10 @@
 /**
- * Client of the platform's store.
+ * Calls to one endpoint with a whole answer each.
  *
  * Each call has its own deadline. A connection whose call passes its deadline is closed, since a connection can go
- * silent for good while new ones work. Everything happens on the control thread.
+ * silent for good while new ones work. Everything happens on one event loop.
  */
-package org.jujubelead.gateway.store
+package org.jujubelead.gateway.net
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
@@ -18,40 +18,37 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 import org.jujubelead.core.replica.Endpoint
-import org.jujubelead.gateway.net.AnswerReceiver
-import org.jujubelead.gateway.net.Break
-import org.jujubelead.gateway.net.ConnectionPool
-import org.jujubelead.gateway.net.HttpConnection
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** An answer of the store. */
-public class StoreAnswer(public val status: Int, public val body: String)
+/** A whole answer. */
+public class HttpAnswer(public val status: Int, public val body: String)
 
-/** A call without an answer. A write may have taken effect, now or later. */
-public data class StoreFailure(val detail: String)
+/** A call without a whole answer. It may have taken effect, now or later. */
+public data class CallFailure(val detail: String)
 
 /** @param timeout of one call. */
-public class StoreClient(endpoint: Endpoint, private val loop: EventLoop, private val timeout: Duration) {
+public class HttpCaller(public val endpoint: Endpoint, private val loop: EventLoop, private val timeout: Duration) {
     private val pool = ConnectionPool(endpoint, loop, connectTimeout = timeout)
 
-    public fun get(path: String, done: (Result<StoreAnswer, StoreFailure>) -> Unit): Unit =
+    public fun get(path: String, done: (Result<HttpAnswer, CallFailure>) -> Unit): Unit =
         call(HttpMethod.GET, path, null, done)
 
-    public fun post(path: String, body: String, done: (Result<StoreAnswer, StoreFailure>) -> Unit): Unit =
+    public fun post(path: String, body: String, done: (Result<HttpAnswer, CallFailure>) -> Unit): Unit =
         call(HttpMethod.POST, path, body, done)
 
-    private fun call(method: HttpMethod, path: String, body: String?, done: (Result<StoreAnswer, StoreFailure>) -> Unit) {
+    /** Closes the connections. */
+    public fun close(): Unit = pool.close()
+
+    private fun call(method: HttpMethod, path: String, body: String?, done: (Result<HttpAnswer, CallFailure>) -> Unit) {
         val call = Call(done)
         val timer = loop.schedule({ call.expire() }, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         call.onEnd = { timer.cancel(false) }
         pool.acquire(MOST_IDLE) { connection ->
             when {
-                call.ended -> connection?.close()
-
-                connection == null -> call.end(Err(StoreFailure("no connection")))
-
+                call.ended -> connection?.let(pool::giveBack)
+                connection == null -> call.end(Err(CallFailure("no connection")))
                 else -> {
                     call.connection = connection
                     connection.send(request(method, path, body), call)
@@ -63,7 +60,7 @@
     private fun request(method: HttpMethod, path: String, body: String?): DefaultFullHttpRequest {
         val content = if (body == null) Unpooled.EMPTY_BUFFER else Unpooled.copiedBuffer(body, Charsets.UTF_8)
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, content)
-        request.headers()[HttpHeaderNames.HOST] = pool.endpoint.toString()
+        request.headers()[HttpHeaderNames.HOST] = endpoint.toString()
         if (body != null) {
             request.headers()[HttpHeaderNames.CONTENT_TYPE] = "application/json"
             request.headers()[HttpHeaderNames.CONTENT_LENGTH] = content.readableBytes()
@@ -71,14 +68,14 @@
         return request
     }
 
-    private class Call(private val done: (Result<StoreAnswer, StoreFailure>) -> Unit) : AnswerReceiver {
+    private class Call(private val done: (Result<HttpAnswer, CallFailure>) -> Unit) : AnswerReceiver {
         var ended = false
         var connection: HttpConnection? = null
         var onEnd: () -> Unit = {}
         private var status = 0
         private val body = Unpooled.buffer()
 
-        fun end(result: Result<StoreAnswer, StoreFailure>) {
+        fun end(result: Result<HttpAnswer, CallFailure>) {
             if (ended) return
             ended = true
             onEnd()
@@ -87,7 +84,7 @@
 
         fun expire() {
             connection?.close()
-            end(Err(StoreFailure("no answer in time")))
+            end(Err(CallFailure("no answer in time")))
         }
 
         override fun onHead(response: HttpResponse) {
@@ -98,13 +95,13 @@
             body.writeBytes(bytes)
         }
 
-        override fun onComplete() = end(Ok(StoreAnswer(status, body.toString(Charsets.UTF_8))))
+        override fun onComplete() = end(Ok(HttpAnswer(status, body.toString(Charsets.UTF_8))))
 
-        override fun onBroken(reason: Break) = end(Err(StoreFailure("connection ended: $reason")))
+        override fun onBroken(reason: Break) = end(Err(CallFailure("connection ended: $reason")))
     }
 
     private companion object {
-        /** Between two polls a connection is idle for one poll interval; longer idle ones are not trusted. */
+        /** Polls come more often; longer idle connections are not trusted. */
         val MOST_IDLE: Duration = 5.seconds
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpService.kt
@@ -0,0 +1,53 @@
+/** Small HTTP services of this process: readiness, metrics, and calls between own processes. */
+package org.jujubelead.gateway.net
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandler
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+
+/** Answers one call. It may answer later, on the same event loop. */
+public typealias CallHandler = (body: String, answer: (HttpAnswer) -> Unit) -> Unit
+
+private const val MOST_BODY_BYTES = 4 * 1024 * 1024
+
+/** The handlers of a connection whose calls are answered by path. */
+public fun servicePipeline(calls: Map<String, CallHandler>): List<ChannelHandler> =
+    listOf(HttpServerCodec(), HttpObjectAggregator(MOST_BODY_BYTES), ServiceHandler(calls))
+
+private class ServiceHandler(private val calls: Map<String, CallHandler>) :
+    SimpleChannelInboundHandler<FullHttpRequest>() {
+    override fun channelRead0(ctx: ChannelHandlerContext, request: FullHttpRequest) {
+        val keepAlive = HttpUtil.isKeepAlive(request)
+        val answer = { a: HttpAnswer -> respond(ctx, a, keepAlive) }
+        val call = calls[request.uri().substringBefore('?')]
+        if (call == null) {
+            answer(HttpAnswer(HttpResponseStatus.NOT_FOUND.code(), "no such path\n"))
+        } else {
+            call(request.content().toString(Charsets.UTF_8), answer)
+        }
+    }
+
+    private fun respond(ctx: ChannelHandlerContext, answer: HttpAnswer, keepAlive: Boolean) {
+        val body = Unpooled.copiedBuffer(answer.body, Charsets.UTF_8)
+        val status = HttpResponseStatus.valueOf(answer.status)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+        response.headers()[HttpHeaderNames.CONTENT_LENGTH] = body.readableBytes()
+        response.headers()[HttpHeaderNames.CONTENT_TYPE] = "text/plain; charset=utf-8"
+        HttpUtil.setKeepAlive(response, keepAlive)
+        ctx.writeAndFlush(response).addListener { if (!keepAlive) ctx.close() }
+    }
+
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        // The peer asks again on a new connection; a broken call needs no answer.
+        ctx.close()
+    }
+}
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/Listener.kt
@@ -1,5 +1,5 @@
-/** Listens for callers. */
-package org.jujubelead.gateway.caller
+/** Listens for connections. */
+package org.jujubelead.gateway.net
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
@@ -8,27 +8,20 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpResponseEncoder
 import org.jujubelead.core.replica.Endpoint
 
 /** Connections that may wait to be accepted; a full queue costs a caller seconds. */
 private const val ACCEPT_QUEUE = 1024
 
 /** Opens [endpoint] and serves each connection with [pipeline]. */
-internal fun listen(endpoint: Endpoint, group: EventLoopGroup, pipeline: (Channel) -> List<ChannelHandler>): Channel =
+public fun listen(endpoint: Endpoint, group: EventLoopGroup, pipeline: () -> List<ChannelHandler>): Channel =
     ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
         .option(ChannelOption.SO_BACKLOG, ACCEPT_QUEUE)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(object : ChannelInitializer<Channel>() {
             override fun initChannel(ch: Channel) {
-                ch.pipeline().addLast(*pipeline(ch).toTypedArray())
+                ch.pipeline().addLast(*pipeline().toTypedArray())
             }
         })
         .bind(endpoint.host, endpoint.port).sync().channel()
-
-/** The handlers of one caller's connection. */
-internal fun callerPipeline(traffic: Traffic): List<ChannelHandler> {
-    val connection = CallerConnection(traffic) { c, request -> Exchange(traffic, c, request).also { it.start() } }
-    return listOf(CallerDecoder(traffic.limits.mostHeaderBytes), HttpResponseEncoder(), connection)
-}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -0,0 +1,180 @@
+/**
+ * Coordinates the expert map of one group while this process leads.
+ *
+ * It gathers what the agents say, plans a map when none is being changed, and carries changes out. Runs on the control
+ * thread.
+ */
+package org.jujubelead.gateway.rank
+
+import io.netty.channel.EventLoop
+import org.jujubelead.core.expertmap.ChangePhase
+import org.jujubelead.core.expertmap.MapChange
+import org.jujubelead.core.expertmap.MapPlanner
+import org.jujubelead.core.expertmap.MapVersion
+import org.jujubelead.core.expertmap.RankObservation
+import org.jujubelead.core.ids.Revision
+import org.jujubelead.core.placement.ExpertPlacement
+import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.core.route.ExpertLayout
+import org.jujubelead.core.time.Timestamp
+import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.telemetry.EventLog
+import org.jujubelead.gateway.telemetry.LogEvent
+import java.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * @param since revision at which this process became the leader. It is the coordinator's term, and versions of its maps
+ * are above those of its predecessors.
+ * @param prove tells whether this process still leads.
+ */
+internal class GroupCoordinator(
+    private val loop: EventLoop,
+    private val log: EventLog,
+    private val layout: ExpertLayout,
+    private val since: Revision,
+    private val prove: ((Boolean) -> Unit) -> Unit,
+    private val planInterval: Duration = PLAN_INTERVAL,
+) {
+    private val links = HashMap<Endpoint, RankLink>()
+    private val change = MapChange(versionFloor = MapVersion(since.value * VERSIONS_PER_REVISION))
+    private val planner = MapPlanner(layout)
+    private var plannedAt = Timestamp.ZERO
+    private var proving = false
+    private var learning = false
+    private var stopped = false
+    private var lastPhase: ChangePhase = ChangePhase.Idle
+    private var lastSize = 0
+    private val ticker: ScheduledFuture<*> =
+        loop.scheduleAtFixedRate(::evaluate, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
+
+    /** Takes in what an agent says. Only agents that refuse orders of earlier terms count. */
+    fun status(status: RankStatus) {
+        if (status.term != since.value) return
+        val now = ProcessClock.now()
+        val replica = endpoint(status.replica) ?: return
+        val agent = endpoint(status.agent) ?: return
+        val link = links[replica]?.takeIf { it.agent == agent }
+            ?: RankLink(agent, replica, since.value, loop, log).also { links.put(replica, it)?.close() }
+        link.observed(status.observed)
+        planner.observed(status.choices, now)
+        evaluate()
+    }
+
+    /** Stops once nothing holds the group any more. */
+    fun stop() {
+        stopped = true
+        change.leadershipLost()
+        if (change.idle) end()
+    }
+
+    private fun end() {
+        ticker.cancel(false)
+        links.values.forEach { it.close() }
+        links.clear()
+    }
+
+    private fun view(now: Timestamp): Map<Int, RankObservation> =
+        links.values.mapNotNull { it.observation }.filter { now - it.observedAt < MOST_AGE }.associateBy { it.rank }
+
+    private fun evaluate() {
+        if (stopped && change.idle) return end()
+        val now = ProcessClock.now()
+        val view = view(now)
+        if (view.size != lastSize) {
+            lastSize = view.size
+            log.log(LogEvent.RANKS_CHANGED, "ranks" to view.size, "complete" to change.complete(view))
+        }
+        if (!change.complete(view)) return
+        for ((rank, order) in change.orders(view, now)) link(rank)?.send(order) { evaluate() }
+        logPhase()
+        when {
+            change.phase is ChangePhase.Proving -> proveLeadership()
+            !change.idle || stopped -> Unit
+            change.current == null -> learnMap(view)
+            now - plannedAt >= planInterval -> plan(view, now)
+        }
+    }
+
+    private fun link(rank: Int): RankLink? = links.values.firstOrNull { it.observation?.rank == rank }
+
+    private fun proveLeadership() {
+        if (proving) return
+        proving = true
+        prove { leads ->
+            proving = false
+            val now = ProcessClock.now()
+            val view = view(now)
+            if (leads && change.complete(view)) change.leadershipProved(view) else change.leadershipLost()
+            evaluate()
+        }
+    }
+
+    /** Asks all ranks for the experts they hold. */
+    private fun learnMap(view: Map<Int, RankObservation>) {
+        if (learning) return
+        learning = true
+        val version = view.values.map { it.map }.toSet().singleOrNull()
+        val held = HashMap<Int, List<List<Int>>>()
+        var open = view.size
+        for (rank in view.keys) {
+            val asked = link(rank)
+            val answered = { sets: List<List<Int>>? ->
+                if (sets != null) held[rank] = sets
+                open--
+                if (open == 0) learned(held, version)
+            }
+            if (asked == null) answered(null) else asked.heldExperts(answered)
+        }
+    }
+
+    private fun learned(held: Map<Int, List<List<Int>>>, version: MapVersion?) {
+        learning = false
+        val now = ProcessClock.now()
+        val view = view(now)
+        val whole = view.size == held.size && held.values.all { it.size == layout.sets }
+        if (version == null || !whole || view.values.any { it.map != version }) return
+        val ranks = held.toSortedMap().values
+        change.learn(List(layout.sets) { set -> ExpertPlacement(ranks.map { it[set].sorted() }) })
+    }
+
+    private fun plan(view: Map<Int, RankObservation>, now: Timestamp) {
+        plannedAt = now
+        val current = change.current ?: return
+        val proposal = planner.plan(current, paces = view.toSortedMap().values.map { it.pace }) ?: return
+        log.log(LogEvent.MAP_CHANGE_STEP, "step" to "proposed", "gainPercent" to (proposal.gain * PERCENT).toInt())
+        change.propose(proposal.map, now)
+        evaluate()
+    }
+
+    private fun logPhase() {
+        val phase = change.phase
+        if (phase::class == lastPhase::class) return
+        lastPhase = phase
+        val details = when (phase) {
+            is ChangePhase.Preparing -> "version ${phase.version}"
+            is ChangePhase.Holding -> "version ${phase.version} pass ${phase.step}"
+            is ChangePhase.Switching -> "version ${phase.version} pass ${phase.step}"
+            is ChangePhase.Idle, is ChangePhase.Proving -> null
+        }
+        log.log(LogEvent.MAP_CHANGE_STEP, "step" to phase::class.simpleName, "details" to details)
+    }
+
+    private fun endpoint(text: String): Endpoint? =
+        text.substringAfterLast(':').toIntOrNull()?.let { Endpoint(text.substringBeforeLast(':'), it) }
+
+    private companion object {
+        /** Agents report four times a second; older observations are not acted on. */
+        val MOST_AGE: Duration = 1_000.milliseconds
+
+        /** Twice a second, so that a shift of demand is answered within a second or two. */
+        val PLAN_INTERVAL: Duration = 500.milliseconds
+        const val TICK_MILLIS = 50L
+
+        /** Changes that one leader makes at most. */
+        const val VERSIONS_PER_REVISION = 10_000L
+        const val PERCENT = 100
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankLink.kt
@@ -0,0 +1,120 @@
+/**
+ * The coordinator's way to one rank, through the agent beside it.
+ *
+ * Sends one order at a time, and keeps the newest observation. Runs on the control thread.
+ */
+package org.jujubelead.gateway.rank
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
+import io.netty.channel.EventLoop
+import org.jujubelead.core.expertmap.MapOrder
+import org.jujubelead.core.expertmap.RankObservation
+import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.core.time.Timestamp
+import org.jujubelead.gateway.net.HttpCaller
+import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.telemetry.EventLog
+import org.jujubelead.gateway.telemetry.LogEvent
+import org.jujubelead.platform.wire.RankCalls
+import org.jujubelead.platform.wire.decodeHeldExperts
+import org.jujubelead.platform.wire.decodeRankReport
+import org.jujubelead.platform.wire.encodeOrder
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** @param term of the coordinator. */
+internal class RankLink(
+    val agent: Endpoint,
+    private val replica: Endpoint,
+    private val term: Long,
+    loop: EventLoop,
+    private val log: EventLog,
+) {
+    private val caller = HttpCaller(agent, loop, ORDER_TIMEOUT)
+
+    var observation: RankObservation? = null
+        private set
+    private var readAtMicros = Long.MIN_VALUE
+    private var inFlight = false
+    private var notBefore = Timestamp.ZERO
+    private var accepted: MapOrder? = null
+    private var acceptedAt = Timestamp.ZERO
+
+    /** Takes in a reading, unless a newer one is known. */
+    fun observed(reading: RankReading) {
+        val now = ProcessClock.now()
+        val last = observation
+        // The agent's clock begins anew when its instance does.
+        val comparable = last != null && now - last.observedAt < READING_MEMORY
+        if (comparable && reading.readAtMicros < readAtMicros) return
+        observation = decodeRankReport(reading.report, now).getOrElse {
+            log.log(LogEvent.RANK_UNREADABLE, "replica" to replica, "detail" to it.detail)
+            return
+        }.observation
+        readAtMicros = reading.readAtMicros
+    }
+
+    /** Sends [order] unless one is on its way, or this one was accepted and its effect may not show yet. */
+    fun send(order: MapOrder, done: () -> Unit) {
+        val seen = observation ?: return
+        val now = ProcessClock.now()
+        if (inFlight || now < notBefore || (order == accepted && now - acceptedAt < REPEAT_PAUSE)) return
+        inFlight = true
+        val message = RankOrder(term, encodeOrder(order, seen.epoch))
+        caller.post(RankPaths.ORDER, rankJson.encodeToString(RankOrder.serializer(), message)) { result ->
+            inFlight = false
+            val answer = result.get()?.takeIf { it.status == STATUS_OK }
+            ended(order, answer?.let { rankJson.decodeFromString(OrderResult.serializer(), it.body) }, now)
+            done()
+        }
+    }
+
+    private fun ended(order: MapOrder, outcome: OrderResult?, sentAt: Timestamp) {
+        val now = ProcessClock.now()
+        val done = outcome?.status in RankCalls.ACCEPTED
+        log.log(
+            if (done) LogEvent.MAP_ORDER_ENDED else LogEvent.MAP_ORDER_FAILED,
+            "rank" to observation?.rank,
+            "order" to order,
+            "status" to outcome?.status,
+            "millis" to (now - sentAt).inWholeMilliseconds,
+            "report" to if (done) null else outcome?.observed?.report,
+        )
+        if (done) {
+            accepted = order
+            acceptedAt = now
+        } else {
+            notBefore = now + FAILED_PAUSE
+        }
+        outcome?.observed?.let(::observed)
+    }
+
+    /** Asks which experts the rank holds in each set. */
+    fun heldExperts(done: (List<List<Int>>?) -> Unit) {
+        caller.get(RankPaths.HELD_EXPERTS) { result ->
+            val body = result.get()?.takeIf { it.status == STATUS_OK }?.body ?: return@get done(null)
+            val held = decodeHeldExperts(body).getOrElse {
+                log.log(LogEvent.RANK_UNREADABLE, "replica" to replica, "detail" to it.detail)
+                null
+            }
+            done(held)
+        }
+    }
+
+    fun close() = caller.close()
+
+    private companion object {
+        /** An agent's own time limits for an order and the report after it, and the way there. */
+        val ORDER_TIMEOUT: Duration = 450.milliseconds
+
+        /** A rank needs some time to load experts and to show it. */
+        val REPEAT_PAUSE: Duration = 900.milliseconds
+
+        /** The next observation may show why an order failed. */
+        val FAILED_PAUSE: Duration = 60.milliseconds
+        val READING_MEMORY: Duration = 1.seconds
+        const val STATUS_OK = 200
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankStatus.kt
@@ -0,0 +1,53 @@
+/** Messages between rank agents, as JSON. */
+package org.jujubelead.gateway.rank
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+
+/**
+ * What an agent tells the coordinator of its rank.
+ *
+ * @property term of the coordinator that the agent follows. From then on it refuses orders of earlier terms.
+ * @property agent address of the agent.
+ * @property replica address of the replica.
+ * @property choices how often its tokens chose each expert since the last status.
+ */
+@Serializable
+internal data class RankStatus(
+    val term: Long,
+    val agent: String,
+    val replica: String,
+    val observed: RankReading,
+    val choices: List<Int>,
+)
+
+/**
+ * One reading of a rank's report.
+ *
+ * @property readAtMicros when it was asked for, on the agent's monotonic clock.
+ * @property report as the replica gave it.
+ */
+@Serializable
+internal data class RankReading(val readAtMicros: Long, val report: String)
+
+/** An order of the coordinator of [term], with the [body] for the replica. */
+@Serializable
+internal data class RankOrder(val term: Long, val body: String)
+
+/**
+ * Outcome of an order that an agent passed on.
+ *
+ * @property status the replica's answer; null when there was none, and the order may be carried out later.
+ * @property observed the rank after the order.
+ */
+@Serializable
+internal data class OrderResult(val status: Int?, val observed: RankReading?)
+
+internal val rankJson: Json = Json { ignoreUnknownKeys = true }
+
+/** Paths of the calls between agents. */
+internal object RankPaths {
+    const val STATUS = "/rank/status"
+    const val ORDER = "/rank/order"
+    const val HELD_EXPERTS = "/rank/experts"
+}
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/settings/ProcessDescription.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/settings/ProcessDescription.kt
@@ -9,6 +9,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import org.jujubelead.core.ids.InstanceId
+import org.jujubelead.core.ids.ServiceId
 import org.jujubelead.core.ids.ZoneId
 import org.jujubelead.core.replica.Endpoint
 import org.yaml.snakeyaml.LoaderOptions
@@ -50,6 +51,7 @@
 /**
  * @property callers where callers connect; null for a process beside a replica.
  * @property replica the replica beside this process, if there is one.
+ * @property service the service of that replica.
  * @property internalPorts first and last port for traffic between own processes.
  */
 public data class ProcessDescription(
@@ -59,6 +61,7 @@
     val callers: Endpoint?,
     val readiness: Endpoint?,
     val replica: Endpoint?,
+    val service: ServiceId?,
     val internalPorts: IntRange,
     val store: Endpoint,
     val bounds: DeploymentBounds,
@@ -84,6 +87,7 @@
         callers = fields.optionalEndpoint("callers"),
         readiness = fields.optionalEndpoint("readiness"),
         replica = fields.optionalEndpoint("replica"),
+        service = fields.optionalText("service")?.let(::ServiceId),
         internalPorts = fields.ports("internalPorts"),
         store = fields.endpoint("store"),
         bounds = DeploymentBounds(
@@ -120,6 +124,8 @@
         return value.orEmpty()
     }
 
+    fun optionalText(name: String): String? = if (fields[name] == null) null else text(name)
+
     fun flag(name: String): Boolean {
         val value = fields[name] as? Boolean
         if (value == null) fault(name, "must be true or false")
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/StoreFollower.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/StoreFollower.kt
@@ -17,6 +17,9 @@
 import org.jujubelead.core.replica.ReplicaDirectory
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
+import org.jujubelead.gateway.net.CallFailure
+import org.jujubelead.gateway.net.HttpAnswer
+import org.jujubelead.gateway.net.HttpCaller
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
@@ -32,7 +35,7 @@
 
 /** @param onChange gets each new state. */
 public class StoreFollower(
-    private val store: StoreClient,
+    private val store: HttpCaller,
     private val loop: EventLoop,
     private val log: EventLog,
     private val pollInterval: Duration = POLL_INTERVAL,
@@ -52,18 +55,18 @@
     private fun pollConfiguration() {
         val sentAt = ProcessClock.read()
         val known = state.configuration?.revision
-        val done = { result: Result<StoreAnswer, StoreFailure> ->
+        val done = { result: Result<HttpAnswer, CallFailure> ->
             result.fold({ configurationAnswered(it, known, sentAt) }, { lost(it.detail) })
             again(sentAt.monotonic, state.configuration != null, ::pollConfiguration)
         }
         if (known == null) {
             store.get(StoreCalls.CONFIGURATION_PATH, done)
         } else {
-            store.post(StoreCalls.TRANSACTION_PATH, StoreCalls.stillCurrent(known), done)
+            store.post(StoreCalls.TRANSACTION_PATH, StoreCalls.unchanged(StoreCalls.CONFIGURATION_KEY, known), done)
         }
     }
 
-    private fun configurationAnswered(answer: StoreAnswer, known: Revision?, sentAt: ClockReading) {
+    private fun configurationAnswered(answer: HttpAnswer, known: Revision?, sentAt: ClockReading) {
         when {
             answer.status == STATUS_OK && known != null -> proven(sentAt)
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
@@ -26,6 +26,13 @@
     STREAM_RESUMED("JJ-6206"),
     CONNECTION_POISONED("JJ-6207"),
     CALLER_PROTOCOL_ERROR("JJ-6208"),
+    LEADERSHIP_CHANGED("JJ-6301"),
+    RANKS_CHANGED("JJ-6302"),
+    MAP_CHANGE_STEP("JJ-6303"),
+    MAP_ORDER_ENDED("JJ-6304", essential = false),
+    MAP_ORDER_FAILED("JJ-6305"),
+    RANK_UNREADABLE("JJ-6306"),
+    ORDER_REFUSED("JJ-6307"),
     DEFECT("JJ-6901"),
     LINES_DROPPED("JJ-6902"),
 }
