--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/MapChange.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/MapChange.kt
@@ -96,11 +96,11 @@
 
     private fun notice(view: Map<Int, RankObservation>) {
         val seen = view.values.first().epoch
-        if (epoch != seen) {
-            epoch = seen
+        if (epoch != null && epoch != seen) {
             phase = ChangePhase.Idle
             current = null
         }
+        epoch = seen
         for (o in view.values) {
             val versions = listOfNotNull(o.map, o.prepared, o.armed?.version)
             lastVersion = maxOf(lastVersion, versions.max())
--- /dev/null
+++ b/core/src/test/kotlin/org/jujubelead/core/dispatch/ServiceQueueTest.kt
@@ -0,0 +1,132 @@
+package org.jujubelead.core.dispatch
+
+import org.jujubelead.core.ids.ServiceId
+import org.jujubelead.core.ids.ZoneId
+import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.core.replica.Replica
+import org.jujubelead.core.replica.ReplicaId
+import org.jujubelead.core.time.Timestamp
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ServiceQueueTest {
+    private val start = Timestamp.ZERO
+    private val queue = ServiceQueue(ownZone = ZoneId("own"))
+
+    private fun replica(id: String, zone: String = "own", slots: Int = 2) = Replica(
+        id = ReplicaId(id), service = ServiceId("s"), endpoint = Endpoint(id, 80), zone = ZoneId(zone), slots = slots,
+        draining = false, bornMillis = 1,
+    )
+
+    private fun ticket(
+        at: Timestamp = start,
+        priority: Int = 1,
+        onTime: Duration = 200.milliseconds,
+        useful: Duration = 2.seconds,
+        excluded: Set<ReplicaId> = emptySet(),
+    ) = Ticket(priority, onTimeUntil = at + onTime, usefulUntil = at + useful, arrivedAt = at, excluded = excluded)
+
+    private fun submit(t: Ticket = ticket(), now: Timestamp = start) = queue.submit(t, now)
+
+    private fun Placement.replicaId() = (this as Placement.Assigned).replica.id.value
+
+    /** Guards against replicas that get more than they run at once, while others are free. */
+    @Test
+    fun `requests are spread over the places, and then wait`() {
+        queue.replicasChanged(listOf(replica("a"), replica("b")))
+        val placed = List(4) { submit().replicaId() }
+        expectThat(placed.groupingBy { it }.eachCount()).isEqualTo(mapOf("a" to 2, "b" to 2))
+        expectThat(submit()).isEqualTo(Placement.Queued)
+    }
+
+    /** Guards against bytes between zones without need. */
+    @Test
+    fun `the own zone comes first until it is busy`() {
+        queue.replicasChanged(listOf(replica("far", zone = "other", slots = 8), replica("near", slots = 8)))
+        val placed = List(6) { submit().replicaId() }
+        expectThat(placed.take(3)).isEqualTo(listOf("near", "near", "near"))
+        expectThat(placed.count { it == "far" }).isEqualTo(2)
+    }
+
+    /** Guards against late requests that take the places of those that can still be on time. */
+    @Test
+    fun `on-time requests come first, then priority, then age`() {
+        queue.replicasChanged(listOf(replica("a", slots = 1)))
+        submit()
+        val late = ticket(onTime = (-10).milliseconds)
+        val low = ticket(priority = 2)
+        val old = ticket(onTime = 150.milliseconds)
+        val young = ticket()
+        listOf(late, low, young, old).forEach { submit(it) }
+        val order = List(4) {
+            queue.ended(ReplicaId("a"), AttemptOutcome.ANSWERED, 10.milliseconds, start)
+            queue.settle(start).single().ticket
+        }
+        expectThat(order).isEqualTo(listOf(old, young, low, late))
+    }
+
+    /** Guards against a request that waits although it cannot start before it is useless. */
+    @Test
+    fun `what cannot start in time is refused when it arrives`() {
+        queue.replicasChanged(listOf(replica("a", slots = 1)))
+        submit()
+        repeat(50) { queue.ended(ReplicaId("a"), AttemptOutcome.ANSWERED, 5.seconds, start) }
+        submit()
+        val refused = submit(ticket(useful = 1.seconds))
+        expectThat(refused).isA<Placement.Refused>().get { after }.isLessThanOrEqualTo(2.seconds)
+    }
+
+    /** Guards against a retry on the replica that has just failed, and a wait for nothing. */
+    @Test
+    fun `replicas that were tried are left out`() {
+        queue.replicasChanged(listOf(replica("a"), replica("b")))
+        expectThat(submit(ticket(excluded = setOf(ReplicaId("a")))).replicaId()).isEqualTo("b")
+        val all = setOf(ReplicaId("a"), ReplicaId("b"))
+        expectThat(submit(ticket(excluded = all))).isEqualTo(Placement.Refused(400.milliseconds, RefusalReason.NO_REPLICA))
+    }
+
+    /** Guards against a failing replica that draws traffic because it is always free. */
+    @Test
+    fun `a replica that fails again and again is avoided for a while, and tried again`() {
+        queue.replicasChanged(listOf(replica("a", slots = 8), replica("b", slots = 8)))
+        repeat(2) { queue.ended(ReplicaId("a"), AttemptOutcome.FAILED, 10.milliseconds, start) }
+        expectThat(List(6) { submit().replicaId() }.toSet()).isEqualTo(setOf("b"))
+        val later = start + 3.seconds
+        expectThat(submit(ticket(at = later), later).replicaId()).isEqualTo("a")
+    }
+
+    /** Guards against a whole fleet that is shut out because all of it failed. */
+    @Test
+    fun `when all replicas are avoided, all are used`() {
+        queue.replicasChanged(listOf(replica("a"), replica("b")))
+        for (id in listOf("a", "b")) repeat(3) { queue.ended(ReplicaId(id), AttemptOutcome.FAILED, 10.milliseconds, start) }
+        expectThat(submit()).isA<Placement.Assigned>()
+    }
+
+    /** Guards against loads that are forgotten when the list of replicas changes. */
+    @Test
+    fun `loads survive a change of the list, but not of the replica's life`() {
+        queue.replicasChanged(listOf(replica("a", slots = 1)))
+        submit()
+        queue.replicasChanged(listOf(replica("a", slots = 1), replica("b", slots = 1)))
+        expectThat(submit().replicaId()).isEqualTo("b")
+        queue.replicasChanged(listOf(replica("a", slots = 1).copy(bornMillis = 2), replica("b", slots = 1)))
+        expectThat(submit().replicaId()).isEqualTo("a")
+    }
+
+    /** Guards against tickets that stay after their time. */
+    @Test
+    fun `a ticket that waited in vain is refused`() {
+        queue.replicasChanged(listOf(replica("a", slots = 1)))
+        submit()
+        submit(ticket(useful = 2.seconds))
+        expectThat(queue.settle(start + 3.seconds)).hasSize(1).get { single().placement }.isA<Placement.Refused>()
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/jujubelead/core/expertmap/MapPlannerTest.kt
@@ -0,0 +1,67 @@
+package org.jujubelead.core.expertmap
+
+import org.jujubelead.core.placement.rankTimes
+import org.jujubelead.core.route.ExpertLayout
+import org.jujubelead.core.time.Timestamp
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+/** The load: choices of experts with a few favourites, as the users' deployments show them, and shifts of favour. */
+class MapPlannerTest {
+    private val layout = ExpertLayout(sets = 2, experts = 24, placesPerRank = 8, sparePerRank = 3, expertShare = 0.85)
+    private val ranks = 4
+    private val paces = List(ranks) { 1.0 }
+    private val initial = MapPlanner.initialMap(layout, ranks)
+
+    private fun choices(favourite: Int) = List(layout.sets * layout.experts) { i ->
+        if (i % layout.experts == favourite) 6_000 else 100 + Random(i).nextInt(100)
+    }
+
+    private fun slowest(map: GroupMap, counts: List<Int>): Double = map.withIndex().sumOf { (set, placement) ->
+        val loads = counts.drop(set * layout.experts).take(layout.experts).map { it.toDouble() }
+        placement.rankTimes(loads, paces).max()
+    }
+
+    /** Guards against plans that leave the favourite on one rank, and against maps that no rank would accept. */
+    @Test
+    fun `a favourite expert is spread, within what ranks can load and hold`() {
+        val planner = MapPlanner(layout)
+        planner.observed(choices(favourite = 5), Timestamp.ZERO)
+        val next = planner.plan(initial, paces)
+        expectThat(next).isNotNull()
+        val map = checkNotNull(next).map
+        expectThat(slowest(map, choices(5))).isLessThan(slowest(initial, choices(5)) * 0.5)
+        for ((set, placement) in map.withIndex()) {
+            expectThat(placement.ranks.flatten().toSet().size).isEqualTo(layout.experts)
+            for (r in 0 until ranks) {
+                expectThat(placement.ranks[r].size).isLessThan(layout.placesPerRank + 1)
+                expectThat(initial[set].missing(r, placement)).isLessThan(layout.sparePerRank + 1)
+            }
+        }
+    }
+
+    /** Guards against maps that follow demand of long ago. */
+    @Test
+    fun `new demand outweighs old demand within seconds`() {
+        val planner = MapPlanner(layout)
+        planner.observed(choices(favourite = 5), Timestamp.ZERO)
+        planner.observed(choices(favourite = 6), Timestamp.ZERO + 5.seconds)
+        val map = checkNotNull(planner.plan(initial, paces)).map
+        expectThat(slowest(map, choices(6))).isLessThan(slowest(initial, choices(6)) * 0.5)
+    }
+
+    /** Guards against moved experts that gain nothing. */
+    @Test
+    fun `even demand and few choices give no plan`() {
+        val planner = MapPlanner(layout)
+        expectThat(planner.plan(initial, paces)).isNull()
+        planner.observed(List(layout.sets * layout.experts) { 1_000 }, Timestamp.ZERO)
+        expectThat(planner.plan(initial, paces)).isNull()
+    }
+}
