Exchange loads between gateways

Change: gateways find each other by entries in the store and send each other their requests per replica by datagram, often within a zone, seldom beyond.

--- a/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
@@ -75,9 +75,9 @@
         }
     }
 
-    /** Sets the requests that other instances have at [replica]. */
-    public fun elsewhere(replica: ReplicaId, count: Int) {
-        loads[replica]?.elsewhere = count
+    /** Sets the requests that other instances have at each replica. */
+    public fun elsewhere(count: (ReplicaId) -> Int) {
+        loads.values.forEach { it.elsewhere = count(it.replica.id) }
     }
 
     /** Asks for a replica. A queued ticket comes back from [settle]. */
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
@@ -16,6 +16,9 @@
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.listen
 import org.jujubelead.gateway.net.servicePipeline
+import org.jujubelead.gateway.peers.LoadExchange
+import org.jujubelead.gateway.peers.Peer
+import org.jujubelead.gateway.peers.PeerDirectory
 import org.jujubelead.gateway.settings.ProcessDescription
 import org.jujubelead.gateway.store.StoreFollower
 import org.jujubelead.gateway.telemetry.EventLog
@@ -46,9 +49,17 @@
             network.next().execute(traffic::replicasChanged)
         }
         follower.start()
+        val own = Endpoint(description.machine, description.internalPorts.first)
+        val exchange = LoadExchange(description.zone, traffic::loads, traffic::loadsElsewhere)
+        exchange.start(own, network)
+        val self = Peer(own, description.zone)
+        PeerDirectory(store, control.next(), description.instance, self) { peers ->
+            log.log(LogEvent.PEERS_CHANGED, "peers" to peers.joinToString(" ") { it.endpoint.toString() })
+            network.next().execute { exchange.peers = peers }
+        }.start()
         listen(readiness, network) { servicePipeline(mapOf("/ready" to { _, answer -> answer(readiness()) })) }
         listen(callers, network) { callerPipeline(traffic) }
-        listen(Endpoint(description.machine, description.internalPorts.first), network) {
+        listen(own, network) {
             servicePipeline(mapOf("/metrics" to { _, answer -> answer(HttpAnswer(STATUS_OK, metrics.text())) }))
         }
         network.next().execute(traffic::start)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Traffic.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Traffic.kt
@@ -18,6 +18,7 @@
 import org.jujubelead.core.route.CallerLimits
 import org.jujubelead.gateway.net.ConnectionPool
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.peers.LoadReport
 import org.jujubelead.gateway.settings.DeploymentBounds
 import org.jujubelead.gateway.store.ControlState
 import org.jujubelead.gateway.telemetry.EventLog
@@ -91,6 +92,19 @@
         )
     }
 
+    /** Requests of this instance at replicas, by the replica's name in load reports. */
+    fun loads(): Map<Int, Int> = buildMap {
+        for (queue in queues.values) {
+            for (load in queue.loadView) if (load.inFlight > 0) put(LoadReport.hash(load.replica.id), load.inFlight)
+        }
+    }
+
+    /** Takes in the requests that other instances have at replicas. */
+    fun loadsElsewhere(counts: Map<Int, Int>) {
+        queues.values.forEach { queue -> queue.elsewhere { counts[LoadReport.hash(it)] ?: 0 } }
+        settleAll()
+    }
+
     /** Asks for a replica for [exchange]; a queued exchange is told later. */
     fun submit(exchange: Exchange, service: ServiceId, ticket: Ticket): Placement {
         val placement = queue(service).submit(ticket, ProcessClock.now())
--- /dev/null
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/LoadExchange.kt
@@ -0,0 +1,102 @@
+/**
+ * Exchanges with the other gateways how many requests each has at which replica.
+ *
+ * Without it each gateway would fill the places of a replica by itself, and the rest would wait in the replica's own
+ * queue, where the order cannot change and nothing can be refused any more. Gateways of the own zone are told often,
+ * since they share the same replicas; others seldom, as bytes between zones cost. Reports of a silent gateway expire.
+ * Runs on the traffic thread.
+ */
+package org.jujubelead.gateway.peers
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import org.jujubelead.core.ids.ZoneId
+import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.core.time.Timestamp
+import org.jujubelead.gateway.net.ProcessClock
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * @param loads of this gateway, by hash of the replica.
+ * @param onElsewhere gets the sum of the loads of all others, by hash of the replica.
+ */
+internal class LoadExchange(
+    private val zone: ZoneId,
+    private val loads: () -> Map<Int, Int>,
+    private val onElsewhere: (Map<Int, Int>) -> Unit,
+) {
+    private class Received(val report: LoadReport, val at: Timestamp)
+
+    private val sender = Random.nextLong()
+    private val received = HashMap<Long, Received>()
+    private lateinit var channel: Channel
+    private var sequence = 0
+    private var lastSent: Map<Int, Int> = emptyMap()
+    private var ticks = 0
+
+    /** The other gateways. */
+    var peers: List<Peer> = emptyList()
+
+    fun start(own: Endpoint, group: NioEventLoopGroup) {
+        channel = Bootstrap().group(group).channel(NioDatagramChannel::class.java)
+            .handler(object : SimpleChannelInboundHandler<DatagramPacket>() {
+                override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) {
+                    LoadReport.decode(packet.content())?.let(::received)
+                }
+
+                override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+                    // A datagram to a gateway that is gone comes back as an error; the directory will drop it.
+                }
+            })
+            .bind(own.host, own.port).sync().channel()
+        channel.eventLoop().scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun received(report: LoadReport) {
+        val last = received[report.sender]
+        if (last != null && report.sequence <= last.report.sequence) return
+        received[report.sender] = Received(report, ProcessClock.now())
+        publish()
+    }
+
+    private fun publish() {
+        val sum = HashMap<Int, Int>()
+        for (r in received.values) for ((hash, count) in r.report.loads) sum.merge(hash, count, Int::plus)
+        onElsewhere(sum)
+    }
+
+    private fun tick() {
+        val now = ProcessClock.now()
+        if (received.values.removeIf { now - it.at > EXPIRY }) publish()
+        val current = loads()
+        val slow = ticks++ % SLOW_TICKS == 0
+        if (current == lastSent && !slow) return
+        lastSent = current
+        val report = LoadReport(sender, ++sequence, current)
+        for (p in peers) {
+            if (p.zone != zone && !slow) continue
+            channel.write(DatagramPacket(report.encode(), InetSocketAddress(p.endpoint.host, p.endpoint.port)))
+        }
+        channel.flush()
+    }
+
+    private companion object {
+        /** A few times the rate at which one gateway places requests on one replica. */
+        const val TICK_MILLIS = 60L
+
+        /** Every how many ticks gateways of other zones are told, and unchanged loads repeated. */
+        const val SLOW_TICKS = 5
+
+        /** Some slow reports may be lost before a gateway is taken as gone. */
+        val EXPIRY: Duration = 1_500.milliseconds
+    }
+}
