Shorten map changes and make only those that gain a tenth

Ruled out: fewer plans a second (the first change after a shift gains most). Change: a switch four passes ahead, a report with each pass during a change, at least a tenth of the experts' time gained, and a hundredth per loaded expert.

--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/MapChange.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/MapChange.kt
@@ -183,8 +183,8 @@
         /** The rank that holds the group during a change. */
         private const val HOLDER: Int = 0
 
-        /** About half a second at the usual length of a pass; holding and arming take a tenth of that. */
-        public const val DEFAULT_MARGIN_STEPS: Long = 10
+        /** Holding and arming take about one pass; a pass that begins earlier costs another proof of leadership. */
+        public const val DEFAULT_MARGIN_STEPS: Long = 4
 
         /** Loading some experts takes well under a second; orders may have to be repeated. */
         private val PREPARE_TIMEOUT: Duration = 4.seconds
--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/MapPlanner.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/MapPlanner.kt
@@ -83,10 +83,10 @@
         public val DEFAULT_MEMORY: Duration = 1_500.milliseconds
 
         /** Loading makes passes 15 in 100 longer for about half a second of the some seconds that a map lasts. */
-        public const val DEFAULT_LEAST_GAIN: Double = 0.05
+        public const val DEFAULT_LEAST_GAIN: Double = 0.1
 
         /** Least gain in the time of the slowest rank for each expert that is loaded. */
-        private const val LEAST_GAIN_PER_MOVE = 0.002
+        private const val LEAST_GAIN_PER_MOVE = 0.01
 
         /** With fewer choices in a set the shares of experts are chance. */
         private const val LEAST_CHOICES = 2_000.0
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -15,6 +15,7 @@
 import org.jujubelead.core.ids.ServiceId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.route.ExpertLayout
+import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.HttpAnswer
 import org.jujubelead.gateway.net.HttpCaller
 import org.jujubelead.gateway.net.ProcessClock
@@ -61,6 +62,10 @@
     /** False until the store has told who leads: an agent that has just started cannot tell a deposed coordinator. */
     private var termKnown = false
     private var ordersUnderWay = 0
+    private var reportedAt = Timestamp.ZERO
+
+    /** Until then the map is likely to change, and the coordinator waits for each report. */
+    private var changingUntil = Timestamp.ZERO
     private var lastChoices: List<Int> = emptyList()
     private var leader: HttpCaller? = null
     private var coordinator: GroupCoordinator? = null
@@ -78,7 +83,7 @@
             )
         }
         loop.execute { election.start() }
-        loop.scheduleAtFixedRate(::report, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS)
+        loop.scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
         log.log(LogEvent.STARTED, "service" to service, "replica" to replicaAddress, "store" to description.store)
         stopped.await()
         log.log(LogEvent.STOPPED)
@@ -89,6 +94,14 @@
         stopped.countDown()
     }
 
+    private fun tick() {
+        val now = ProcessClock.now()
+        val interval = if (now < changingUntil) TICK_MILLIS.milliseconds else REPORT_INTERVAL
+        if (now - reportedAt < interval) return
+        reportedAt = now
+        report()
+    }
+
     /** Tells the coordinator what the rank reports. */
     private fun report() {
         val to = leader ?: return
@@ -138,6 +151,7 @@
         }
         term = order.term
         ordersUnderWay++
+        changingUntil = ProcessClock.now() + CHANGE_TIME
         replica.post(RankCalls.ORDER_PATH, order.body) { result ->
             ordersUnderWay--
             val status = result.get()?.status
@@ -207,7 +221,13 @@
         val STORE_TIMEOUT: Duration = 1_000.milliseconds
 
         /** Four times a second: demand shifts every few seconds. */
-        const val REPORT_MILLIS = 250L
+        val REPORT_INTERVAL: Duration = 240.milliseconds
+
+        /** About a pass: during a change a report is due with each. */
+        const val TICK_MILLIS = 60L
+
+        /** Experts are loaded, and a switch is reached, well within a second. */
+        val CHANGE_TIME: Duration = 800.milliseconds
         const val RETRY_MILLIS = 500L
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
