Refuse at once, with a long pause, while a service fails as a whole

Cause: while a zone was cut off, all ranks of the group rejected what they got. Ruled out: waiting in the queue (an outage lasts longer than most callers' patience, and what waits is in the way of new requests afterwards). Change: after eight failures in a row without an answer one request is placed as a probe at a time; others get a pause of 2.5 s, of which callers honour a third of what they have left.

--- a/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
@@ -5,7 +5,8 @@
  * and a refusal is still true. Waiting requests are served by whether they can still be on time, then by priority, then
  * by the time by which they must start. The load this answers is a service near or over its capacity: requests that
  * can no longer be on time do not hold up those that can, and a request that would not start before its deadline is
- * refused when it arrives instead of waiting in vain. Mutable; owned by the traffic thread.
+ * refused when it arrives instead of waiting in vain. While all replicas fail together, as the ranks of a broken group
+ * do, only probes are placed. Mutable; owned by the traffic thread.
  */
 package org.jujubelead.core.dispatch
 
@@ -42,7 +43,7 @@
     public data class Refused(val after: Duration, val reason: RefusalReason) : Placement
 }
 
-public enum class RefusalReason { NO_REPLICA, OVERLOADED }
+public enum class RefusalReason { NO_REPLICA, OVERLOADED, OUTAGE }
 
 /** A ticket that got its placement after it had waited. */
 public class Settled(public val ticket: Ticket, public val placement: Placement)
@@ -55,6 +56,7 @@
     private val loads = LinkedHashMap<ReplicaId, ReplicaLoad>()
     private val waiting = ArrayList<Ticket>()
     private var meanHold: Duration = INITIAL_HOLD
+    private val outage = ServiceOutage()
 
     public val waitingCount: Int get() = waiting.size
     public val loadView: Collection<ReplicaLoad> get() = loads.values
@@ -88,6 +90,7 @@
         ) {
             return Placement.Refused(NO_REPLICA_PAUSE, RefusalReason.NO_REPLICA)
         }
+        if (!outage.mayPlace(now)) return Placement.Refused(LONGEST_PAUSE, RefusalReason.OUTAGE)
         if (waiting.none { serviceOrder(now).compare(it, ticket) <= 0 }) assign(ticket, now)?.let { return it }
         val wait = expectedWait(ticket, now)
         if (now + wait > ticket.usefulUntil) {
@@ -100,9 +103,13 @@
     /** Gives the place of an ended attempt back. [held] is how long the attempt took. */
     public fun ended(replica: ReplicaId, outcome: AttemptOutcome, held: Duration, now: Timestamp) {
         loads[replica]?.ended(outcome, now)
+        outage.ended(outcome, now)
         if (outcome == AttemptOutcome.ANSWERED) meanHold = meanHold * (1 - HOLD_WEIGHT) + held * HOLD_WEIGHT
     }
 
+    /** A replica has begun to answer. */
+    public fun answering(): Unit = outage.answering()
+
     /** Withdraws a ticket that is no longer wanted. */
     public fun withdraw(ticket: Ticket) {
         waiting.remove(ticket)
@@ -118,6 +125,7 @@
             val t = rest.next()
             val placement = when {
                 now > t.usefulUntil -> Placement.Refused(SHORTEST_PAUSE, RefusalReason.OVERLOADED)
+                !outage.mayPlace(now) -> Placement.Refused(LONGEST_PAUSE, RefusalReason.OUTAGE)
                 else -> assign(t, now) ?: continue
             }
             rest.remove()
@@ -132,6 +140,7 @@
         val usable = sound.ifEmpty { if (loads.values.all { it.avoided(now) }) candidates else return null }
         val best = usable.minByOrNull { cost(it) } ?: return null
         best.inFlight++
+        outage.placed(now)
         return Placement.Assigned(best.replica)
     }
 
@@ -168,6 +177,6 @@
         val SHORTEST_PAUSE: Duration = 100.milliseconds
 
         /** Callers cap the pause at a third of their remaining time; longer ones only lose what they have left. */
-        val LONGEST_PAUSE: Duration = 2.seconds
+        val LONGEST_PAUSE: Duration = 2_500.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -278,6 +278,7 @@
 
     private fun startStream(head: AnswerHead) {
         streamStarted = true
+        traffic.queue(service).answering()
         traffic.metrics.firstEvent.observe(
             (ProcessClock.now() - request.arrivedAt).inWholeMicroseconds / MICROS_PER_SECOND,
         )
@@ -384,6 +385,13 @@
         }
     }
 
+    private val RefusalReason.label: String
+        get() = when (this) {
+            RefusalReason.NO_REPLICA -> "no-replica"
+            RefusalReason.OVERLOADED -> "overloaded"
+            RefusalReason.OUTAGE -> "service-outage"
+        }
+
     private companion object {
         /** Part of the objective after which a start is too late to be on time; the rest is the work itself. */
         const val ON_TIME_SHARE = 0.55
