Bound what coordination costs in a large group

Ruled out: the gateway's own load (0.02 cores). Change: statuses carry whole sets by turns, about a kilobyte each, 50 a second in all; four maps are on their way at once; plans go set by set with bounded candidates; the store is polled by the bounds of the deployment. A test bounds the time of one step of a plan for 63 ranks.

--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/MapPlanner.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/MapPlanner.kt
@@ -35,39 +35,69 @@
 ) {
     private val loads = Array(layout.sets) { DoubleArray(layout.experts) }
     private var updatedAt: Timestamp? = null
+    private var planningFrom: GroupMap? = null
+    private val planned = ArrayList<ExpertPlacement>()
+    private var before = 0.0
+    private var after = 0.0
 
-    /** Adds how often one rank's tokens chose each expert of each set, in the order of sets and experts. */
-    public fun observed(counts: List<Int>, now: Timestamp) {
+    /**
+     * Adds how often one rank's tokens chose each expert of some sets from [firstSet] on, in the order of sets and
+     * experts.
+     */
+    public fun observed(firstSet: Int, counts: List<Int>, now: Timestamp) {
         decay(now)
         for ((i, n) in counts.withIndex()) {
-            if (n <= 0 || i >= layout.sets * layout.experts) continue
-            loads[i / layout.experts][i % layout.experts] += n.toDouble()
+            val set = firstSet + i / layout.experts
+            if (n <= 0 || set >= layout.sets) continue
+            loads[set][i % layout.experts] += n.toDouble()
         }
     }
 
-    /** The next map, or null when no change is worth its cost. [paces] is the relative time of each rank's work. */
-    public fun plan(current: GroupMap, paces: List<Double>): MapProposal? {
+    /**
+     * Goes on planning by one set, which bounds the time of a call. Returns a proposal when the last set is planned and
+     * the change is worth its cost, and null otherwise.
+     *
+     * @param paces relative time of each rank's work.
+     */
+    public fun planNextSet(current: GroupMap, paces: List<Double>): MapProposal? {
+        if (current !== planningFrom) restart(current)
         val capacities = paces.map { 1.0 / it.coerceIn(1.0, MOST_PACE) }
-        var before = 0.0
-        var after = 0.0
-        val map = current.mapIndexed { set, placement ->
-            val load = loads[set].toList()
-            if (load.sum() < LEAST_CHOICES) return null
-            val next = improvePlacement(
-                start = placement,
-                loads = load,
-                capacities = capacities,
-                slotsPerRank = layout.placesPerRank,
-                budget = paces.size * layout.sparePerRank,
-                minGain = LEAST_GAIN_PER_MOVE,
-                mostNewPerRank = layout.sparePerRank,
-            )
-            before += placement.rankTimes(load, capacities).max()
-            after += next.rankTimes(load, capacities).max()
-            next
+        val placement = current[planned.size]
+        val sum = loads[planned.size].sum()
+        if (sum < LEAST_CHOICES) {
+            restart(current)
+            return null
         }
+        // Sets are sampled unevenly; what counts is the part of its own set that an expert has.
+        val load = loads[planned.size].map { it / sum }
+        val next = improvePlacement(
+            start = placement,
+            loads = load,
+            capacities = capacities,
+            slotsPerRank = layout.placesPerRank,
+            budget = minOf(MOST_MOVES, paces.size * layout.sparePerRank),
+            minGain = LEAST_GAIN_PER_MOVE,
+            mostNewPerRank = layout.sparePerRank,
+            candidates = CANDIDATES,
+        )
+        before += placement.rankTimes(load, capacities).max()
+        after += next.rankTimes(load, capacities).max()
+        planned += next
+        if (planned.size < current.size) return null
         val gain = 1 - after / before
-        return if (gain >= leastGain) MapProposal(map, gain) else null
+        val proposal = if (gain >= leastGain) MapProposal(planned.toList(), gain) else null
+        restart(current)
+        return proposal
+    }
+
+    /** True when the next call of [planNextSet] begins a new plan. */
+    public val between: Boolean get() = planned.isEmpty()
+
+    private fun restart(current: GroupMap) {
+        planningFrom = current
+        planned.clear()
+        before = 0.0
+        after = 0.0
     }
 
     private fun decay(now: Timestamp) {
@@ -88,6 +118,12 @@
         /** Least gain in the time of the slowest rank for each expert that is loaded. */
         private const val LEAST_GAIN_PER_MOVE = 0.01
 
+        /** Expert copies that one change loads in a set; the rest follows in the next change. */
+        private const val MOST_MOVES = 36
+
+        /** Ranks and experts that are considered for each move. */
+        private const val CANDIDATES = 12
+
         /** With fewer choices in a set the shares of experts are chance. */
         private const val LEAST_CHOICES = 2_000.0
 
--- a/core/src/main/kotlin/org/jujubelead/core/placement/PlacementSearch.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/placement/PlacementSearch.kt
@@ -23,6 +23,7 @@
     private val capacities: DoubleArray,
     private val slotsPerRank: Int,
     private val mostNewPerRank: Int = Int.MAX_VALUE,
+    private val candidates: Int = Int.MAX_VALUE,
 ) {
     private class Change(val rank: Int, val slot: Int, val expert: Int, val otherRank: Int, val otherSlot: Int) {
         val moves get() = if (otherRank == EMPTY) 1 else 2
@@ -37,6 +38,8 @@
     private val trial = DoubleArray(ranks)
     private val touched = IntArray(2 * ranks + 2)
     private var touchedCount = 0
+    private var targets: List<Int> = emptyList()
+    private var hottest: List<Int> = emptyList()
     private val scale: Double
     private var power = 0.0
 
@@ -71,7 +74,10 @@
     }
 
     private fun best(left: Int, minGain: Double): Change? {
-        val slow = times.indices.sortedByDescending { times[it] }.take(SLOW_RANKS)
+        val byTime = times.indices.sortedByDescending { times[it] }
+        val slow = byTime.take(SLOW_RANKS)
+        targets = byTime.takeLast(minOf(candidates, ranks))
+        hottest = if (candidates >= loads.size) loads.indices.toList() else loads.indices.sortedByDescending { share(it) }.take(candidates)
         val before = norm(power)
         var best: Change? = null
         var bestGain = minGain
@@ -113,13 +119,13 @@
     }
 
     private inline fun replaceWithAny(r: Int, s: Int, consider: (Change, Double) -> Unit) {
-        for (other in loads.indices) {
+        for (other in hottest) {
             if (r !in holders[other]) consider(Change(r, s, other, EMPTY, EMPTY), powerAfterLoad(r, s, other))
         }
     }
 
     private inline fun spread(r: Int, s: Int, e: Int, left: Int, consider: (Change, Double) -> Unit) {
-        for (t in 0 until ranks) {
+        for (t in targets) {
             if (times[t] >= times[r] || t in holders[e]) continue
             for (u in 0 until slotsPerRank) {
                 val v = slots[t][u]
@@ -196,6 +202,8 @@
  * @param budget expert copies that may be loaded in all.
  * @param minGain least gain in the relative time of the slowest rank per loaded copy.
  * @param mostNewPerRank expert copies that one rank may load.
+ * @param candidates ranks and experts that are considered for each change: the least loaded and the hottest ones. Bounds
+ * the time of a search in large groups.
  */
 public fun improvePlacement(
     start: ExpertPlacement,
@@ -205,6 +213,7 @@
     budget: Int,
     minGain: Double,
     mostNewPerRank: Int,
+    candidates: Int = Int.MAX_VALUE,
 ): ExpertPlacement {
     val search = PlacementSearch(
         start = start,
@@ -212,6 +221,7 @@
         capacities = capacities.toDoubleArray(),
         slotsPerRank = slotsPerRank,
         mostNewPerRank = mostNewPerRank,
+        candidates = candidates,
     )
     search.improve(budget = budget, minGain = minGain)
     return search.placement
--- a/core/src/test/kotlin/org/jujubelead/core/expertmap/MapPlannerTest.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/expertmap/MapPlannerTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
@@ -23,6 +24,9 @@
         if (i % layout.experts == favourite) 6_000 else 100 + Random(i).nextInt(100)
     }
 
+    private fun MapPlanner.plan(current: GroupMap, paces: List<Double>): MapProposal? =
+        (1..layout.sets).firstNotNullOfOrNull { planNextSet(current, paces) }
+
     private fun slowest(map: GroupMap, counts: List<Int>): Double = map.withIndex().sumOf { (set, placement) ->
         val loads = counts.drop(set * layout.experts).take(layout.experts).map { it.toDouble() }
         placement.rankTimes(loads, paces).max()
@@ -32,7 +36,7 @@
     @Test
     fun `a favourite expert is spread, within what ranks can load and hold`() {
         val planner = MapPlanner(layout)
-        planner.observed(choices(favourite = 5), Timestamp.ZERO)
+        planner.observed(0, choices(favourite = 5), Timestamp.ZERO)
         val next = planner.plan(initial, paces)
         expectThat(next).isNotNull()
         val map = checkNotNull(next).map
@@ -50,18 +54,38 @@
     @Test
     fun `new demand outweighs old demand within seconds`() {
         val planner = MapPlanner(layout)
-        planner.observed(choices(favourite = 5), Timestamp.ZERO)
-        planner.observed(choices(favourite = 6), Timestamp.ZERO + 5.seconds)
+        planner.observed(0, choices(favourite = 5), Timestamp.ZERO)
+        planner.observed(0, choices(favourite = 6), Timestamp.ZERO + 5.seconds)
         val map = checkNotNull(planner.plan(initial, paces)).map
         expectThat(slowest(map, choices(6))).isLessThan(slowest(initial, choices(6)) * 0.5)
     }
 
+    /** Guards against a plan of a large group that keeps the coordinator from renewing its lease. */
+    @Test
+    fun `one step of a plan for 63 ranks is short, and still gains`() {
+        val large = ExpertLayout(sets = 8, experts = 252, placesPerRank = 5, sparePerRank = 2, expertShare = 0.85)
+        val planner = MapPlanner(large)
+        val random = Random(3)
+        val counts = List(large.sets * large.experts) { (100 / (0.02 + random.nextDouble())).toInt() }
+        planner.observed(0, counts, Timestamp.ZERO)
+        val start = MapPlanner.initialMap(large, 63)
+        val even = List(63) { 1.0 }
+        var longest = 0L
+        val proposals = (1..24).mapNotNull {
+            val at = System.nanoTime()
+            planner.planNextSet(start, even).also { longest = maxOf(longest, System.nanoTime() - at) }
+        }
+        expectThat(proposals.first().gain).isGreaterThan(0.1)
+        // A quarter of the time after which a leader no longer trusts its lease, at the speed of a small instance.
+        expectThat(longest / 1_000_000).isLessThan(250)
+    }
+
     /** Guards against moved experts that gain nothing. */
     @Test
     fun `even demand and few choices give no plan`() {
         val planner = MapPlanner(layout)
         expectThat(planner.plan(initial, paces)).isNull()
-        planner.observed(List(layout.sets * layout.experts) { 1_000 }, Timestamp.ZERO)
+        planner.observed(0, List(layout.sets * layout.experts) { 1_000 }, Timestamp.ZERO)
         expectThat(planner.plan(initial, paces)).isNull()
     }
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
@@ -44,7 +44,7 @@
         val callers = requireNotNull(description.callers) { "a gateway needs the address for callers" }
         val readiness = requireNotNull(description.readiness) { "a gateway needs the address for readiness" }
         val store = HttpCaller(description.store, control.next(), timeout = STORE_TIMEOUT)
-        val follower = StoreFollower(store, control.next(), log) { state ->
+        val follower = StoreFollower(store, control.next(), log, description.bounds.pollInterval) { state ->
             traffic.state = state
             network.next().execute(traffic::replicasChanged)
         }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -8,7 +8,9 @@
 
 import io.netty.channel.EventLoop
 import org.jujubelead.core.expertmap.ChangePhase
+import org.jujubelead.core.expertmap.GroupMap
 import org.jujubelead.core.expertmap.MapChange
+import org.jujubelead.core.expertmap.MapOrder
 import org.jujubelead.core.expertmap.MapPlanner
 import org.jujubelead.core.expertmap.MapVersion
 import org.jujubelead.core.expertmap.RankObservation
@@ -46,20 +48,29 @@
     private var learning = false
     private var stopped = false
     private var lastPhase: ChangePhase = ChangePhase.Idle
-    private var lastSize = 0
+    private var wasComplete = false
+    private var mapsUnderWay = 0
+
+    /** The share of the coordinator's link that statuses take does not grow with the group. */
+    private val interval: Duration get() = maxOf(SHORTEST_INTERVAL, INTERVAL_PER_RANK * links.size)
+    private val changeInterval: Duration get() = interval / CHANGE_RATE
     private val ticker: ScheduledFuture<*> =
-        loop.scheduleAtFixedRate(::evaluate, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
+        loop.scheduleWithFixedDelay(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
 
     /** Takes in what an agent says. Only agents that refuse orders of earlier terms count. */
-    fun status(status: RankStatus) {
-        if (status.term != since.value) return
+    fun status(status: RankStatus): StatusReply {
+        if (status.term == since.value) take(status)
+        return StatusReply(layout.sets, interval.inWholeMilliseconds, changeInterval.inWholeMilliseconds)
+    }
+
+    private fun take(status: RankStatus) {
         val now = ProcessClock.now()
         val replica = endpoint(status.replica) ?: return
         val agent = endpoint(status.agent) ?: return
         val link = links[replica]?.takeIf { it.agent == agent }
             ?: RankLink(agent, replica, since.value, loop, log).also { links.put(replica, it)?.close() }
         link.observed(status.observed)
-        planner.observed(status.choices, now)
+        planner.observed(status.firstSet, status.choices, now)
         evaluate()
     }
 
@@ -77,27 +88,47 @@
     }
 
     private fun view(now: Timestamp): Map<Int, RankObservation> =
-        links.values.mapNotNull { it.observation }.filter { now - it.observedAt < MOST_AGE }.associateBy { it.rank }
+        links.values.mapNotNull { it.observation }.filter { now - it.observedAt < interval * MOST_AGE }.associateBy { it.rank }
+
+    /** Plans, in steps, beside what every observation calls for. */
+    private fun tick() {
+        evaluate()
+        val now = ProcessClock.now()
+        val current = change.current ?: return
+        if (!change.idle || stopped || !wasComplete) return
+        if (!planner.between || now - plannedAt >= planInterval) plan(current, view(now), now)
+    }
 
     private fun evaluate() {
         if (stopped && change.idle) return end()
         val now = ProcessClock.now()
         val view = view(now)
-        if (view.size != lastSize) {
-            lastSize = view.size
-            log.log(LogEvent.RANKS_CHANGED, "ranks" to view.size, "complete" to change.complete(view))
+        val complete = change.complete(view)
+        if (complete != wasComplete) {
+            wasComplete = complete
+            log.log(LogEvent.RANKS_CHANGED, "ranks" to view.size, "complete" to complete)
         }
-        if (!change.complete(view)) return
-        for ((rank, order) in change.orders(view, now)) link(rank)?.send(order) { evaluate() }
+        if (!complete) return
+        for ((rank, order) in change.orders(view, now)) send(rank, order)
         logPhase()
         when {
             change.phase is ChangePhase.Proving -> proveLeadership()
             !change.idle || stopped -> Unit
             change.current == null -> learnMap(view)
-            now - plannedAt >= planInterval -> plan(view, now)
         }
     }
 
+    /** Sends an order. Maps are large, and only a few are on their way at once: the link is shared with a replica. */
+    private fun send(rank: Int, order: MapOrder) {
+        val large = order is MapOrder.Prepare
+        if (large && mapsUnderWay >= MOST_MAPS_UNDER_WAY) return
+        val sent = link(rank)?.send(order) {
+            if (large) mapsUnderWay--
+            evaluate()
+        } ?: false
+        if (large && sent) mapsUnderWay++
+    }
+
     private fun link(rank: Int): RankLink? = links.values.firstOrNull { it.observation?.rank == rank }
 
     private fun proveLeadership() {
@@ -140,10 +171,9 @@
         change.learn(List(layout.sets) { set -> ExpertPlacement(ranks.map { it[set].sorted() }) })
     }
 
-    private fun plan(view: Map<Int, RankObservation>, now: Timestamp) {
-        plannedAt = now
-        val current = change.current ?: return
-        val proposal = planner.plan(current, paces = view.toSortedMap().values.map { it.pace }) ?: return
+    private fun plan(current: GroupMap, view: Map<Int, RankObservation>, now: Timestamp) {
+        if (planner.between) plannedAt = now
+        val proposal = planner.planNextSet(current, paces = view.toSortedMap().values.map { it.pace }) ?: return
         log.log(LogEvent.MAP_CHANGE_STEP, "step" to "proposed", "gainPercent" to (proposal.gain * PERCENT).toInt())
         change.propose(proposal.map, now)
         evaluate()
@@ -166,12 +196,24 @@
         text.substringAfterLast(':').toIntOrNull()?.let { Endpoint(text.substringBeforeLast(':'), it) }
 
     private companion object {
-        /** Agents report four times a second; older observations are not acted on. */
-        val MOST_AGE: Duration = 1_000.milliseconds
+        /** Intervals of statuses after which an observation is not acted on. */
+        const val MOST_AGE = 4
+
+        /** Four times a second: demand shifts every few seconds. */
+        val SHORTEST_INTERVAL: Duration = 240.milliseconds
+
+        /** 50 statuses of about a kilobyte a second: a twelfth of the smallest links of the users' deployments. */
+        val INTERVAL_PER_RANK: Duration = 20.milliseconds
+
+        /** Statuses are more frequent by this factor during the second of a change. */
+        const val CHANGE_RATE = 4
+
+        /** Four maps of the largest group are queued for 50 ms on the smallest link. */
+        const val MOST_MAPS_UNDER_WAY = 4
 
         /** Twice a second, so that a shift of demand is answered within a second or two. */
         val PLAN_INTERVAL: Duration = 500.milliseconds
-        const val TICK_MILLIS = 50L
+        const val TICK_MILLIS = 30L
 
         /** Changes that one leader makes at most. */
         const val VERSIONS_PER_REVISION = 10_000L
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -63,6 +63,8 @@
     private var termKnown = false
     private var ordersUnderWay = 0
     private var reportedAt = Timestamp.ZERO
+    private var reply = StatusReply(sets = 0, interval = FIRST_REPORT_MILLIS, changeInterval = FIRST_REPORT_MILLIS)
+    private var turn = 0
 
     /** Until then the map is likely to change, and the coordinator waits for each report. */
     private var changingUntil = Timestamp.ZERO
@@ -96,8 +98,8 @@
 
     private fun tick() {
         val now = ProcessClock.now()
-        val interval = if (now < changingUntil) TICK_MILLIS.milliseconds else REPORT_INTERVAL
-        if (now - reportedAt < interval) return
+        val interval = if (now < changingUntil) reply.changeInterval else reply.interval
+        if (now - reportedAt < interval.milliseconds) return
         reportedAt = now
         report()
     }
@@ -113,20 +115,37 @@
             decodeRankReport(reading.report, ProcessClock.now()).get()?.let { rank = it.observation.rank }
             replica.get(RankCalls.CHOICES_PATH) { counted ->
                 val counts = counted.get()?.takeIf { it.status == STATUS_OK }?.let { decodeChoices(it.body).get() }
+                val (firstSet, choices) = sample(newChoices(counts.orEmpty()))
                 val status = RankStatus(
                     term = following,
                     agent = own.toString(),
                     replica = replicaAddress.toString(),
                     observed = reading,
-                    choices = newChoices(counts.orEmpty()),
+                    firstSet = firstSet,
+                    choices = choices,
                 )
-                to.post(RankPaths.STATUS, rankJson.encodeToString(RankStatus.serializer(), status)) {
+                to.post(RankPaths.STATUS, rankJson.encodeToString(RankStatus.serializer(), status)) { answered ->
                     // A lost status is replaced by the next one.
+                    val body = answered.get()?.takeIf { it.status == STATUS_OK }?.body
+                    if (body != null) reply = rankJson.decodeFromString(StatusReply.serializer(), body)
                 }
             }
         }
     }
 
+    /**
+     * The choices of as many whole sets as fit into a status. Ranks begin with different sets and take turns, so that
+     * all sets are sampled at any time.
+     */
+    private fun sample(choices: List<Int>): Pair<Int, List<Int>> {
+        if (reply.sets == 0 || choices.isEmpty()) return 0 to emptyList()
+        val perSet = choices.size / reply.sets
+        val whole = (MOST_CHOICES / perSet).coerceIn(1, reply.sets)
+        val firstSet = (rank + turn++) * whole % reply.sets
+        val end = minOf(firstSet + whole, reply.sets)
+        return firstSet to choices.subList(firstSet * perSet, end * perSet)
+    }
+
     private fun read(done: (RankReading?) -> Unit) {
         val readAt = ProcessClock.now()
         replica.get(RankCalls.REPORT_PATH) { result ->
@@ -168,8 +187,8 @@
 
     private fun status(body: String, answer: (HttpAnswer) -> Unit) {
         val to = coordinator ?: return answer(HttpAnswer(STATUS_UNAVAILABLE, "not the coordinator\n"))
-        to.status(rankJson.decodeFromString(RankStatus.serializer(), body))
-        answer(HttpAnswer(STATUS_OK, ""))
+        val reply = to.status(rankJson.decodeFromString(RankStatus.serializer(), body))
+        answer(HttpAnswer(STATUS_OK, rankJson.encodeToString(StatusReply.serializer(), reply)))
     }
 
     private fun leadershipChanged(now: Leadership) {
@@ -222,14 +241,17 @@
         val REPLICA_TIMEOUT: Duration = 200.milliseconds
         val STORE_TIMEOUT: Duration = 1_000.milliseconds
 
-        /** Four times a second: demand shifts every few seconds. */
-        val REPORT_INTERVAL: Duration = 240.milliseconds
+        /** Until the coordinator has told how often it wants to hear. */
+        const val FIRST_REPORT_MILLIS = 500L
 
-        /** About a pass: during a change a report is due with each. */
+        /** About a pass: statuses are no more frequent. */
         const val TICK_MILLIS = 60L
 
+        /** Choices in one status; a status is then about a kilobyte. */
+        const val MOST_CHOICES = 300
+
         /** Experts are loaded, and a switch is reached, well within a second. */
-        val CHANGE_TIME: Duration = 800.milliseconds
+        val CHANGE_TIME: Duration = 1_000.milliseconds
         const val RETRY_MILLIS = 500L
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankLink.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankLink.kt
@@ -56,12 +56,12 @@
         readAtMicros = reading.readAtMicros
     }
 
-    /** Sends [order] unless one is on its way, or this one was accepted and its effect may not show yet. */
-    fun send(order: MapOrder, done: () -> Unit) {
-        val seen = observation ?: return
+    /** Sends [order] unless one is on its way, or this one was accepted and may not show yet; tells whether it did. */
+    fun send(order: MapOrder, done: () -> Unit): Boolean {
+        val seen = observation ?: return false
         val now = ProcessClock.now()
         val underWay = order == accepted && now - acceptedAt < REPEAT_PAUSE
-        if (inFlight || underWay || now < notBefore) return
+        if (inFlight || underWay || now < notBefore) return false
         inFlight = true
         val message = RankOrder(term, encodeOrder(order, seen.epoch))
         caller.post(RankPaths.ORDER, rankJson.encodeToString(RankOrder.serializer(), message)) { result ->
@@ -70,6 +70,7 @@
             ended(order, answer?.let { rankJson.decodeFromString(OrderResult.serializer(), it.body) }, now)
             done()
         }
+        return true
     }
 
     private fun ended(order: MapOrder, outcome: OrderResult?, sentAt: Timestamp) {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankStatus.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankStatus.kt
@@ -10,7 +10,8 @@
  * @property term of the coordinator that the agent follows. From then on it refuses orders of earlier terms.
  * @property agent address of the agent.
  * @property replica address of the replica.
- * @property choices how often its tokens chose each expert since the last status.
+ * @property firstSet the first set of layers that [choices] is about.
+ * @property choices how often its tokens chose each expert of some sets since the last status.
  */
 @Serializable
 internal data class RankStatus(
@@ -18,9 +19,20 @@
     val agent: String,
     val replica: String,
     val observed: RankReading,
+    val firstSet: Int,
     val choices: List<Int>,
 )
 
+/**
+ * The coordinator's answer to a status.
+ *
+ * @property sets number of sets of layers.
+ * @property interval milliseconds between two statuses.
+ * @property changeInterval milliseconds between two statuses while the map is changed.
+ */
+@Serializable
+internal data class StatusReply(val sets: Int, val interval: Long, val changeInterval: Long)
+
 /**
  * One reading of a rank's report.
  *
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/settings/ProcessDescription.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/settings/ProcessDescription.kt
@@ -26,6 +26,8 @@
  * @property strictRevocation true when a revoked key must not be served within [revocation].
  * @property retryRatio repeats per request that all instances together may send to a service in [retryWindow].
  * @property retrySlack repeats per window beside the ratio.
+ * @property configurationDelay time within which an accepted configuration is in force.
+ * @property drainDelay time within which a leaving replica gets no more requests.
  * @property stopGrace time between the request to stop and the kill.
  */
 public data class DeploymentBounds(
@@ -35,7 +37,12 @@
     val retryWindow: Duration,
     val retrySlack: Double,
     val stopGrace: Duration,
+    val configurationDelay: Duration,
+    val drainDelay: Duration,
 ) {
+    /** How often the store is read: one failed read must not delay a change beyond its bound. */
+    val pollInterval: Duration get() = minOf(configurationDelay, drainDelay) * POLL_SHARE
+
     /**
      * Age of the configuration up to which keys are trusted. The rest of the revocation time covers a wall clock that
      * was set back while the instance was suspended.
@@ -45,6 +52,9 @@
     private companion object {
         /** The platform credits nothing to keyed requests beyond this part of the bound. */
         const val TRUSTED_SHARE = 0.6
+
+        /** Twice this share and the time of a read fit into the bound. */
+        const val POLL_SHARE = 0.45
     }
 }
 
@@ -97,6 +107,8 @@
             retryWindow = bounds.number("retryWindowSeconds", POSITIVE).seconds,
             retrySlack = bounds.number("retrySlack", NOT_NEGATIVE),
             stopGrace = bounds.number("stopGraceSeconds", POSITIVE).seconds,
+            configurationDelay = bounds.number("configurationMillis", POSITIVE).milliseconds,
+            drainDelay = bounds.number("drainMillis", POSITIVE).milliseconds,
         ),
     )
     val faults = fields.faults
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/StoreFollower.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/StoreFollower.kt
@@ -38,7 +38,7 @@
     private val store: HttpCaller,
     private val loop: EventLoop,
     private val log: EventLog,
-    private val pollInterval: Duration = POLL_INTERVAL,
+    private val pollInterval: Duration,
     private val onChange: (ControlState) -> Unit,
 ) {
     private val directory = ReplicaDirectory()
@@ -183,17 +183,14 @@
         loop.schedule(poll, wait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
-    public companion object {
-        /** Half of the time within which a change must be in force, so that one failed poll does no harm. */
-        public val POLL_INTERVAL: Duration = 900.milliseconds
-
+    private companion object {
         /** Until the first success an instance serves nothing, so it asks more often. */
-        private val START_INTERVAL: Duration = 150.milliseconds
+        val START_INTERVAL: Duration = 150.milliseconds
 
         /** Keeps a failing store from being asked in a tight loop. */
-        private val SHORTEST_WAIT: Duration = 50.milliseconds
-        private const val STATUS_OK = 200
-        private const val STATUS_NOT_FOUND = 404
-        private const val STATUS_CONFLICT = 412
+        val SHORTEST_WAIT: Duration = 50.milliseconds
+        const val STATUS_OK = 200
+        const val STATUS_NOT_FOUND = 404
+        const val STATUS_CONFLICT = 412
     }
 }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/settings/ProcessDescriptionTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/settings/ProcessDescriptionTest.kt
@@ -24,6 +24,8 @@
           retryWindowSeconds: 10
           retrySlack: 92
           stopGraceSeconds: 8
+          configurationMillis: 2000
+          drainMillis: 3000
     """.trimIndent()
 
     /** Guards against a field that is read under another name than the template gives it. */
