--- a/core/src/main/kotlin/org/jujubelead/core/placement/PlacementSearch.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/placement/PlacementSearch.kt
@@ -76,8 +76,8 @@
     private fun best(left: Int, minGain: Double): Change? {
         val byTime = times.indices.sortedByDescending { times[it] }
         val slow = byTime.take(SLOW_RANKS)
-        targets = byTime.takeLast(minOf(candidates, ranks))
-        hottest = if (candidates >= loads.size) loads.indices.toList() else loads.indices.sortedByDescending { share(it) }.take(candidates)
+        targets = if (candidates < ranks) byTime.takeLast(candidates) else times.indices.toList()
+        hottest = if (candidates < loads.size) hottestExperts() else loads.indices.toList()
         val before = norm(power)
         var best: Change? = null
         var bestGain = minGain
@@ -100,6 +100,8 @@
         return best
     }
 
+    private fun hottestExperts(): List<Int> = loads.indices.sortedByDescending { share(it) }.take(candidates)
+
     /** True when no rank would have to load more experts than it may in one change of the map. */
     private fun loadable(change: Change): Boolean {
         if (mostNewPerRank == Int.MAX_VALUE) return true
@@ -202,8 +204,8 @@
  * @param budget expert copies that may be loaded in all.
  * @param minGain least gain in the relative time of the slowest rank per loaded copy.
  * @param mostNewPerRank expert copies that one rank may load.
- * @param candidates ranks and experts that are considered for each change: the least loaded and the hottest ones. Bounds
- * the time of a search in large groups.
+ * @param candidates ranks and experts that are considered for each change: the least loaded and the hottest ones. It
+ * bounds the time of a search in large groups.
  */
 public fun improvePlacement(
     start: ExpertPlacement,
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -88,7 +88,9 @@
     }
 
     private fun view(now: Timestamp): Map<Int, RankObservation> =
-        links.values.mapNotNull { it.observation }.filter { now - it.observedAt < interval * MOST_AGE }.associateBy { it.rank }
+        links.values.mapNotNull {
+            it.observation
+        }.filter { now - it.observedAt < interval * MOST_AGE }.associateBy { it.rank }
 
     /** Plans, in steps, beside what every observation calls for. */
     private fun tick() {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
@@ -1,4 +1,4 @@
-/** Numbered log events of the gateway and the rank agent. docs/events.md lists each with its meaning. */
+/** Numbered log events of the gateway and the rank agent. docs/events-platform.md lists each with its meaning. */
 package org.jujubelead.gateway.telemetry
 
 /**
@@ -25,8 +25,7 @@
     REQUEST_ABANDONED("JJ-6204"),
     ATTEMPT_ENDED("JJ-6205"),
     STREAM_RESUMED("JJ-6206"),
-    CONNECTION_POISONED("JJ-6207"),
-    CALLER_PROTOCOL_ERROR("JJ-6208"),
+    CALLER_PROTOCOL_ERROR("JJ-6207"),
     LEADERSHIP_CHANGED("JJ-6301"),
     RANKS_CHANGED("JJ-6302"),
     MAP_CHANGE_STEP("JJ-6303"),
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/GatewayFixture.kt
@@ -39,7 +39,9 @@
         retryRatio = 0.2,
         retryWindow = 10.seconds,
         retrySlack = 100.0,
-        stopGrace = 8.seconds, configurationDelay = 2.seconds, drainDelay = 2.seconds,
+        stopGrace = 8.seconds,
+        configurationDelay = 2.seconds,
+        drainDelay = 2.seconds,
     )
     val traffic = Traffic(
         loop = group.next(),
