Share replica lists within a zone, and report defects of periodic work

A periodic task that threw would have ended for good without a word, and exceptions of handlers on internal connections were not logged. Ruled out: a watch (replicas renew their entries 55 times a second there); sharing the configuration (each gateway has to prove its own freshness). Change: the gateway with the lowest address of a zone reads, the others ask it three times as often and read the store when the answer is missing or older than 1.3 intervals; Defects is the one place for what no part expects.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
@@ -20,6 +20,7 @@
 import org.jujubelead.gateway.peers.Peer
 import org.jujubelead.gateway.peers.PeerDirectory
 import org.jujubelead.gateway.settings.ProcessDescription
+import org.jujubelead.gateway.store.ReplicaRelay
 import org.jujubelead.gateway.store.StoreFollower
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.GatewayMetrics
@@ -44,23 +45,31 @@
         val callers = requireNotNull(description.callers) { "a gateway needs the address for callers" }
         val readiness = requireNotNull(description.readiness) { "a gateway needs the address for readiness" }
         val store = HttpCaller(description.store, control.next(), timeout = STORE_TIMEOUT)
-        val follower = StoreFollower(store, control.next(), log, description.bounds.pollInterval) { state ->
+        val own = Endpoint(description.machine, description.internalPorts.first)
+        val interval = description.bounds.pollInterval
+        val relay = ReplicaRelay(control.next(), description.zone, own, mostAge = interval * OLD_LIST_INTERVALS)
+        val follower = StoreFollower(store, control.next(), log, interval, relay) { state ->
             traffic.state = state
             network.next().execute(traffic::replicasChanged)
         }
         follower.start()
-        val own = Endpoint(description.machine, description.internalPorts.first)
         val exchange = LoadExchange(description.zone, traffic::loads, traffic::loadsElsewhere)
         exchange.start(own, network)
         val self = Peer(own, description.zone)
         PeerDirectory(store, control.next(), description.instance, self) { peers ->
             log.log(LogEvent.PEERS_CHANGED, "peers" to peers.joinToString(" ") { it.endpoint.toString() })
+            relay.peersChanged(peers)
             network.next().execute { exchange.peers = peers }
         }.start()
         listen(readiness, network) { servicePipeline(mapOf("/ready" to { _, answer -> answer(readiness()) })) }
         listen(callers, network) { callerPipeline(traffic) }
         listen(own, network) {
-            servicePipeline(mapOf("/metrics" to { _, answer -> answer(HttpAnswer(STATUS_OK, metrics.text())) }))
+            servicePipeline(
+                mapOf(
+                    "/metrics" to { _, answer -> answer(HttpAnswer(STATUS_OK, metrics.text())) },
+                    ReplicaRelay.PATH to { _, answer -> answer(sharedList(relay)) },
+                ),
+            )
         }
         network.next().execute(traffic::start)
         log.log(
@@ -73,6 +82,9 @@
         stopped.await()
     }
 
+    private fun sharedList(relay: ReplicaRelay): HttpAnswer =
+        relay.share()?.let { HttpAnswer(STATUS_OK, it) } ?: HttpAnswer(STATUS_UNAVAILABLE, "")
+
     private fun readiness(): HttpAnswer {
         val state = traffic.state
         val age = state.age(ProcessClock.read())
@@ -130,6 +142,9 @@
         /** The platform takes an instance out of rotation after two misses, a second apart. */
         val ROTATION_TIME: Duration = 2.8.seconds
 
+        /** A shared list is at most one interval old, unless its reader has lost the store. */
+        const val OLD_LIST_INTERVALS = 1.3
+
         /** Leaves time to end before the kill. */
         const val GRACE_SHARE = 0.93
         const val STATUS_OK = 200
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/Main.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/Main.kt
@@ -10,6 +10,7 @@
 import org.jujubelead.gateway.settings.ProcessDescription
 import org.jujubelead.gateway.settings.SettingsFault
 import org.jujubelead.gateway.settings.readProcessDescription
+import org.jujubelead.gateway.telemetry.Defects
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import sun.misc.Signal
@@ -29,6 +30,7 @@
         exitProcess(EXIT_USAGE)
     }
     val log = EventLog(instance = description.instance.value).start()
+    Defects.reportTo(log)
     when (args.firstOrNull()) {
         "gateway" -> {
             val process = GatewayProcess(description, log)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/CallerConnection.kt
@@ -28,7 +28,9 @@
 import io.netty.util.ReferenceCountUtil
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.telemetry.Defects
 import org.jujubelead.gateway.telemetry.LogEvent
+import java.io.IOException
 
 /** @param begin starts the exchange of a request. */
 internal class CallerConnection(
@@ -214,13 +216,7 @@
     }
 
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        if (cause !is java.io.IOException) {
-            traffic.log.log(
-                LogEvent.DEFECT,
-                "where" to "caller",
-                "cause" to cause.toString(),
-            )
-        }
+        if (cause !is IOException) Defects.report("caller", cause)
         ctx.close()
     }
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Traffic.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Traffic.kt
@@ -23,8 +23,8 @@
 import org.jujubelead.gateway.store.ControlState
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.GatewayMetrics
+import org.jujubelead.gateway.telemetry.every
 import java.util.IdentityHashMap
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -59,8 +59,8 @@
 
     /** Starts the periodic work. */
     fun start() {
-        loop.scheduleAtFixedRate(::settleAll, SETTLE_INTERVAL_MILLIS, SETTLE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
-        loop.scheduleAtFixedRate(::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
+        loop.every(SETTLE_INTERVAL_MILLIS, "settle", ::settleAll)
+        loop.every(SWEEP_INTERVAL_MILLIS, "sweep", ::sweep)
     }
 
     /** Takes in the usable replicas of [state]. */
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpConnection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpConnection.kt
@@ -19,6 +19,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.jujubelead.core.time.Timestamp
+import org.jujubelead.gateway.telemetry.Defects
+import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -157,7 +159,7 @@
     }
 
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        // A reset, or a defect of a handler; the connection is of no further use either way.
+        if (cause !is IOException) Defects.report("answer", cause)
         reset = true
         ctx.close()
     }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpService.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpService.kt
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import org.jujubelead.gateway.telemetry.Defects
+import java.io.IOException
 
 /** Answers one call. It may answer later, on the same event loop. */
 public typealias CallHandler = (body: String, answer: (HttpAnswer) -> Unit) -> Unit
@@ -47,7 +49,8 @@
     }
 
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        // The peer asks again on a new connection; a broken call needs no answer.
+        // The peer asks again on a new connection; a call that is cut needs no answer.
+        if (cause !is IOException) Defects.report("call", cause)
         ctx.close()
     }
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/LoadExchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/LoadExchange.kt
@@ -19,8 +19,8 @@
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.telemetry.every
 import java.net.InetSocketAddress
-import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -58,7 +58,7 @@
                 }
             })
             .bind(own.host, own.port).sync().channel()
-        channel.eventLoop().scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
+        channel.eventLoop().every(TICK_MILLIS, "load reports", ::tick)
     }
 
     private fun received(report: LoadReport) {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -22,8 +22,7 @@
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
-import java.util.concurrent.ScheduledFuture
-import java.util.concurrent.TimeUnit
+import org.jujubelead.gateway.telemetry.every
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -54,8 +53,11 @@
     /** The share of the coordinator's link that statuses take does not grow with the group. */
     private val interval: Duration get() = maxOf(SHORTEST_INTERVAL, INTERVAL_PER_RANK * links.size)
     private val changeInterval: Duration get() = interval / CHANGE_RATE
-    private val ticker: ScheduledFuture<*> =
-        loop.scheduleWithFixedDelay(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
+    private var ended = false
+
+    init {
+        loop.every(TICK_MILLIS, "map change", ::tick)
+    }
 
     /** Takes in what an agent says. Only agents that refuse orders of earlier terms count. */
     fun status(status: RankStatus): StatusReply {
@@ -82,7 +84,7 @@
     }
 
     private fun end() {
-        ticker.cancel(false)
+        ended = true
         links.values.forEach { it.close() }
         links.clear()
     }
@@ -94,6 +96,7 @@
 
     /** Plans, in steps, beside what every observation calls for. */
     private fun tick() {
+        if (ended) return
         evaluate()
         val now = ProcessClock.now()
         val current = change.current ?: return
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -26,6 +26,7 @@
 import org.jujubelead.gateway.store.Leadership
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
+import org.jujubelead.gateway.telemetry.every
 import org.jujubelead.platform.wire.RankCalls
 import org.jujubelead.platform.wire.StoreCalls
 import org.jujubelead.platform.wire.decodeChoices
@@ -85,7 +86,7 @@
             )
         }
         loop.execute { election.start() }
-        loop.scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
+        loop.every(TICK_MILLIS, "rank status", ::tick)
         log.log(LogEvent.STARTED, "service" to service, "replica" to replicaAddress, "store" to description.store)
         stopped.await()
         log.log(LogEvent.STOPPED)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaFollower.kt
@@ -0,0 +1,123 @@
+/**
+ * Follows the replicas that are registered in the store, through the reader of the zone or by itself.
+ *
+ * Replicas renew their entries so often that a watch on them would answer more often than a poll asks. Runs on the
+ * control thread.
+ */
+package org.jujubelead.gateway.store
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onFailure
+import io.netty.channel.EventLoop
+import org.jujubelead.core.replica.Replica
+import org.jujubelead.core.replica.ReplicaDirectory
+import org.jujubelead.core.time.ClockReading
+import org.jujubelead.core.time.Timestamp
+import org.jujubelead.gateway.net.HttpCaller
+import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.telemetry.EventLog
+import org.jujubelead.gateway.telemetry.LogEvent
+import org.jujubelead.platform.wire.ReplicaPage
+import org.jujubelead.platform.wire.StoreCalls
+import org.jujubelead.platform.wire.decodeReplicaPage
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * @param onChange gets the usable replicas whenever they change, and once at the beginning.
+ * @param onLost called when the store cannot be read.
+ */
+public class ReplicaFollower(
+    private val store: HttpCaller,
+    private val loop: EventLoop,
+    private val log: EventLog,
+    private val pollInterval: Duration,
+    private val relay: ReplicaRelay,
+    private val onChange: (List<Replica>) -> Unit,
+    private val onLost: (String) -> Unit,
+) {
+    private val directory = ReplicaDirectory()
+    private var known: List<Replica>? = null
+    private var lastUnreadable = 0
+
+    public fun start(): Unit = loop.execute(::poll)
+
+    private fun poll() {
+        if (!relay.shared) return readStore()
+        relay.ask { pages, sentAt ->
+            if (pages == null) return@ask readStore()
+            take(pages, sentAt)
+            again(ProcessClock.now(), pollInterval / RELAY_RATE)
+        }
+    }
+
+    private fun readStore() = readPage(after = null, earlier = emptyList(), sentAt = ProcessClock.read())
+
+    private fun readPage(after: String?, earlier: List<String>, sentAt: ClockReading) {
+        store.get(StoreCalls.replicaPage(after)) { result ->
+            result.onFailure { failed(it.detail) }
+            val answer = result.get()
+            if (answer != null && answer.status != STATUS_OK) failed("status ${answer.status}")
+            val body = answer?.takeIf { it.status == STATUS_OK }?.body
+            val page = body?.let(::decode)
+            val next = page?.next
+            if (body != null && next != null) return@get readPage(next, earlier + body, sentAt)
+            if (body != null && page != null) {
+                relay.read(sentAt, earlier + body)
+                take(earlier + body, sentAt.monotonic)
+            }
+            again(sentAt.monotonic, if (known == null) START_INTERVAL else pollInterval)
+        }
+    }
+
+    private fun decode(body: String): ReplicaPage? = decodeReplicaPage(body).getOrElse {
+        failed(it.detail)
+        null
+    }
+
+    private fun failed(detail: String) {
+        directory.readFailed(ProcessClock.now())
+        onLost(detail)
+    }
+
+    private fun take(bodies: List<String>, sentAt: Timestamp) {
+        val pages = bodies.map { decode(it) ?: return }
+        val unreadable = pages.sumOf { it.unreadable }
+        if (unreadable != lastUnreadable) log.log(LogEvent.REPLICA_ENTRIES_UNREADABLE, "count" to unreadable)
+        lastUnreadable = unreadable
+        val revision = pages.last().storeRevision
+        val changed = directory.listed(pages.flatMap { it.replicas }, revision, sentAt)
+        if (!changed && known != null) return
+        val before = known.orEmpty().mapTo(HashSet()) { it.id.value }
+        val after = directory.replicas.mapTo(HashSet()) { it.id.value }
+        log.log(
+            LogEvent.REPLICAS_CHANGED,
+            "usable" to after.size,
+            "added" to (after - before).joinToString(" "),
+            "removed" to (before - after).joinToString(" "),
+            "storeRevision" to revision,
+            "ageMillis" to (ProcessClock.now() - sentAt).inWholeMilliseconds,
+        )
+        known = directory.replicas
+        onChange(directory.replicas)
+    }
+
+    private fun again(since: Timestamp, interval: Duration) {
+        val wait = (since + interval - ProcessClock.now()).coerceAtLeast(SHORTEST_WAIT)
+        loop.schedule(::poll, wait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        /** The reader is asked more often than it reads: sharing adds a third of an interval to a list's age. */
+        const val RELAY_RATE = 3
+
+        /** Until the first success an instance serves nothing, so it asks more often. */
+        val START_INTERVAL: Duration = 150.milliseconds
+
+        /** Keeps a failing store from being asked in a tight loop. */
+        val SHORTEST_WAIT: Duration = 50.milliseconds
+        const val STATUS_OK = 200
+    }
+}
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/StoreFollower.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/StoreFollower.kt
@@ -1,10 +1,9 @@
 /**
  * Follows the configuration and the replicas in the store.
  *
- * Both are polled. A silent watch proves nothing, so the age of the last successful read decides how long keyed
- * requests may be served; and replicas renew their entries so often that a watch on them would answer more often than a
- * poll asks. The configuration is polled by a transaction that only compares its revision, which proves freshness
- * without moving the configuration. A revision never goes back. Runs on the control thread.
+ * The configuration is polled by a transaction that only compares its revision: a silent watch proves nothing, and the
+ * age of the last successful poll decides how long keyed requests may be served. A revision never goes back. Runs on
+ * the control thread.
  */
 package org.jujubelead.gateway.store
 
@@ -13,8 +12,6 @@
 import com.github.michaelbull.result.getOrElse
 import io.netty.channel.EventLoop
 import org.jujubelead.core.ids.Revision
-import org.jujubelead.core.replica.Replica
-import org.jujubelead.core.replica.ReplicaDirectory
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.CallFailure
@@ -27,7 +24,6 @@
 import org.jujubelead.platform.wire.StoredText
 import org.jujubelead.platform.wire.decodeConfiguration
 import org.jujubelead.platform.wire.decodeConflict
-import org.jujubelead.platform.wire.decodeReplicaPage
 import org.jujubelead.platform.wire.decodeStoredText
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -39,17 +35,28 @@
     private val loop: EventLoop,
     private val log: EventLog,
     private val pollInterval: Duration,
+    relay: ReplicaRelay,
     private val onChange: (ControlState) -> Unit,
 ) {
-    private val directory = ReplicaDirectory()
     private var state = ControlState()
     private var storeLost = false
-    private var lastUnreadable = 0
+    private val replicas = ReplicaFollower(
+        store = store,
+        loop = loop,
+        log = log,
+        pollInterval = pollInterval,
+        relay = relay,
+        onChange = { list ->
+            state = state.copy(replicas = list)
+            onChange(state)
+        },
+        onLost = ::lost,
+    )
 
-    /** Starts both polls. */
+    /** Starts to poll. */
     public fun start() {
-        loop.execute { pollConfiguration() }
-        loop.execute { pollReplicas() }
+        loop.execute(::pollConfiguration)
+        replicas.start()
     }
 
     private fun pollConfiguration() {
@@ -111,62 +118,6 @@
 
     private fun unreadable(detail: String) = log.log(LogEvent.CONFIGURATION_UNREADABLE, "detail" to detail)
 
-    private fun pollReplicas() = readPage(
-        after = null,
-        earlier = emptyList(),
-        unreadable = 0,
-        sentAt = ProcessClock.now(),
-    )
-
-    private fun readPage(after: String?, earlier: List<Replica>, unreadable: Int, sentAt: Timestamp) {
-        store.get(StoreCalls.replicaPage(after)) { result ->
-            val page = result.fold(
-                {
-                    if (it.status ==
-                        STATUS_OK
-                    ) {
-                        decodeReplicaPage(it.body).getOrElse { f -> listFailed(f.detail) }
-                    } else {
-                        listFailed("status ${it.status}")
-                    }
-                },
-                { listFailed(it.detail) },
-            )
-            val next = page?.next
-            when {
-                page == null -> Unit
-                next != null -> return@get readPage(next, earlier + page.replicas, unreadable + page.unreadable, sentAt)
-                else -> listed(earlier + page.replicas, unreadable + page.unreadable, page.storeRevision, sentAt)
-            }
-            again(sentAt, state.replicas != null, ::pollReplicas)
-        }
-    }
-
-    private fun listFailed(detail: String): Nothing? {
-        directory.readFailed(ProcessClock.now())
-        lost(detail)
-        return null
-    }
-
-    private fun listed(list: List<Replica>, unreadable: Int, storeRevision: Long, sentAt: Timestamp) {
-        if (unreadable != lastUnreadable) log.log(LogEvent.REPLICA_ENTRIES_UNREADABLE, "count" to unreadable)
-        lastUnreadable = unreadable
-        val changed = directory.listed(list, storeRevision, sentAt)
-        if (!changed && state.replicas != null) return
-        val before = state.replicas.orEmpty().mapTo(HashSet()) { it.id.value }
-        val after = directory.replicas.mapTo(HashSet()) { it.id.value }
-        log.log(
-            LogEvent.REPLICAS_CHANGED,
-            "usable" to after.size,
-            "added" to (after - before).joinToString(" "),
-            "removed" to (before - after).joinToString(" "),
-            "storeRevision" to storeRevision,
-            "readMillis" to (ProcessClock.now() - sentAt).inWholeMilliseconds,
-        )
-        state = state.copy(replicas = directory.replicas)
-        onChange(state)
-    }
-
     private fun lost(detail: String) {
         if (!storeLost) log.log(LogEvent.STORE_LOST, "detail" to detail)
         storeLost = true
--- /dev/null
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/store/ReplicaFollowerTest.kt
@@ -0,0 +1,141 @@
+package org.jujubelead.gateway.store
+
+import io.netty.channel.nio.NioEventLoopGroup
+import org.jujubelead.core.ids.ZoneId
+import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.core.replica.Replica
+import org.jujubelead.gateway.net.HttpAnswer
+import org.jujubelead.gateway.net.HttpCaller
+import org.jujubelead.gateway.net.listen
+import org.jujubelead.gateway.net.servicePipeline
+import org.jujubelead.gateway.peers.Peer
+import org.jujubelead.gateway.telemetry.EventLog
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNull
+import java.net.InetSocketAddress
+import java.util.Base64
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
+
+@Timeout(20)
+class ReplicaFollowerTest {
+    private val group = NioEventLoopGroup(1)
+    private val reads = AtomicInteger()
+    private val zone = ZoneId("z")
+
+    @Volatile
+    private var storeUp = true
+
+    private fun page(): String {
+        val entry = """{"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","born":5}"""
+        val value = Base64.getEncoder().encodeToString(entry.toByteArray())
+        return """{"items":[{"key":"servers/a","value":"$value","revision":1,"created":1,"lease":0}],""" +
+            """"hasMore":false,"storeRevision":${reads.get()}}"""
+    }
+
+    private val store = listen(Endpoint("127.0.0.1", 0), group) {
+        servicePipeline(
+            mapOf(
+                "/kv-range" to { _, answer ->
+                    reads.incrementAndGet()
+                    answer(if (storeUp) HttpAnswer(200, page()) else HttpAnswer(503, ""))
+                },
+            ),
+        )
+    }
+
+    private inner class Gateway(host: String) {
+        val relay = ReplicaRelay(group.next(), zone, Endpoint("127.0.0.1", 1), mostAge = 130.milliseconds)
+
+        @Volatile
+        var replicas: List<Replica> = emptyList()
+        val channel = listen(Endpoint(host, 0), group) {
+            servicePipeline(
+                mapOf(
+                    ReplicaRelay.PATH to { _, answer ->
+                        answer(relay.share()?.let { HttpAnswer(200, it) } ?: HttpAnswer(503, ""))
+                    },
+                ),
+            )
+        }
+        val endpoint = Endpoint(host, (channel.localAddress() as InetSocketAddress).port)
+
+        fun start() = ReplicaFollower(
+            store = HttpCaller(
+                Endpoint("127.0.0.1", (store.localAddress() as InetSocketAddress).port),
+                group.next(),
+                500.milliseconds,
+            ),
+            loop = group.next(),
+            log = EventLog(),
+            pollInterval = 100.milliseconds,
+            relay = relay,
+            onChange = { replicas = it },
+            onLost = {},
+        ).start()
+    }
+
+    /** A gateway of the zone whose address is above the reader's. */
+    private fun following(reader: Gateway): ReplicaRelay {
+        val relay = ReplicaRelay(group.next(), zone, Endpoint("127.0.0.9", 1), mostAge = 130.milliseconds)
+        group.next().submit { relay.peersChanged(listOf(Peer(reader.endpoint, zone))) }.sync()
+        return relay
+    }
+
+    private fun ask(relay: ReplicaRelay): List<String>? {
+        val got = CompletableFuture<List<String>?>()
+        group.next().execute { relay.ask { pages, _ -> got.complete(pages) } }
+        return got.get()
+    }
+
+    @AfterEach
+    fun stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS)
+    }
+
+    /** Guards against a cost of the list that grows with the gateways of a zone. */
+    @Test
+    fun `one gateway of a zone reads, and the others learn the same`() {
+        val reader = Gateway("127.0.0.1").apply { start() }
+        while (reader.replicas.isEmpty()) Thread.sleep(5)
+        val follower = following(reader)
+        expectThat(follower.shared).isEqualTo(true)
+        val before = reads.get()
+        expectThat(checkNotNull(ask(follower)).size).isEqualTo(1)
+        expectThat(reads.get() - before).isLessThanOrEqualTo(1)
+    }
+
+    /** Guards against an old list that is passed on as new when the reader has lost the store. */
+    @Test
+    fun `a list that is too old, or a reader that is gone, sends a gateway to the store`() {
+        val reader = Gateway("127.0.0.1").apply { start() }
+        while (reader.replicas.isEmpty()) Thread.sleep(5)
+        storeUp = false
+        Thread.sleep(400)
+        val follower = following(reader)
+        expectThat(ask(follower)).isNull()
+        reader.channel.close().sync()
+        storeUp = true
+        expectThat(ask(follower)).isNull()
+    }
+
+    /** Guards against a shared list that looks younger than the read it comes from. */
+    @Test
+    fun `a shared list keeps the time at which it was asked for`() {
+        val reader = Gateway("127.0.0.1").apply { start() }
+        while (reader.replicas.isEmpty()) Thread.sleep(5)
+        val first = checkNotNull(reader.relay.share())
+        storeUp = false
+        Thread.sleep(300)
+        fun age(json: String) = json.substringAfter("\"ageMillis\":").substringBefore(',').toLong()
+        expectThat(age(checkNotNull(reader.relay.share()))).isGreaterThan(age(first) + 100)
+    }
+}
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/telemetry/EventLogTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/telemetry/EventLogTest.kt
@@ -1,14 +1,18 @@
 package org.jujubelead.gateway.telemetry
 
+import io.netty.channel.DefaultEventLoop
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.endsWith
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
 import java.io.ByteArrayOutputStream
 import java.io.File
 import java.io.PrintStream
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 class EventLogTest {
     private val out = ByteArrayOutputStream()
@@ -50,4 +54,20 @@
         log.flush()
         expectThat(lines().last()).contains("JJ-6902").endsWith("\"count\":1904}")
     }
+
+    /** Guards against periodic work that ends for good, without a word, when it fails once. */
+    @Test
+    fun `a task that throws is reported and runs again`() {
+        Defects.reportTo(log)
+        val loop = DefaultEventLoop()
+        val runs = CountDownLatch(3)
+        loop.every(millis = 5, where = "test") {
+            runs.countDown()
+            error("broken")
+        }
+        expectThat(runs.await(5, TimeUnit.SECONDS)).isTrue()
+        loop.shutdownGracefully(0, 0, TimeUnit.SECONDS).sync()
+        log.flush()
+        expectThat(lines().first()).contains("JJ-6901").contains("broken")
+    }
 }
