--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/MapChange.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/MapChange.kt
@@ -40,8 +40,14 @@
 /**
  * @param versionFloor all versions of this coordinator are above it, and above those of its predecessors.
  * @param marginSteps passes between the latest pass that was seen and the switch.
+ * @param ownRank the rank beside the coordinator. Another one holds the group, so that a suspended instance does not
+ * take both the hold and the coordinator with it.
  */
-public class MapChange(versionFloor: MapVersion, private val marginSteps: Long = DEFAULT_MARGIN_STEPS) {
+public class MapChange(
+    versionFloor: MapVersion,
+    private val marginSteps: Long = DEFAULT_MARGIN_STEPS,
+    private val ownRank: () -> Int = { 0 },
+) {
     public var phase: ChangePhase = ChangePhase.Idle
         private set
 
@@ -158,7 +164,7 @@
         when {
             view.values.any { it.prepared != p.version } -> phase = ChangePhase.Idle
             view.values.maxOf { it.step } >= p.step -> phase = ChangePhase.Proving(p.version, p.map)
-            else -> return mapOf(HOLDER to MapOrder.Hold(p.step))
+            else -> return mapOf((ownRank() + 1) % view.size to MapOrder.Hold(p.step))
         }
         return emptyMap()
     }
@@ -191,9 +197,6 @@
     }
 
     public companion object {
-        /** The rank that holds the group during a change. */
-        private const val HOLDER: Int = 0
-
         /** Holding and arming take about one pass; a pass that begins earlier costs another proof of leadership. */
         public const val DEFAULT_MARGIN_STEPS: Long = 4
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -25,10 +25,12 @@
 import org.jujubelead.gateway.telemetry.every
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * @param since revision at which this process became the leader. It is the coordinator's term, and versions of its maps
  * are above those of its predecessors.
+ * @param ownRank the rank beside this process.
  * @param prove tells whether this process still leads.
  */
 internal class GroupCoordinator(
@@ -36,11 +38,13 @@
     private val log: EventLog,
     private val layout: ExpertLayout,
     private val since: Revision,
+    ownRank: () -> Int,
     private val prove: ((Boolean) -> Unit) -> Unit,
     private val planInterval: Duration = PLAN_INTERVAL,
 ) {
     private val links = HashMap<Endpoint, RankLink>()
-    private val change = MapChange(versionFloor = MapVersion(since.value * VERSIONS_PER_REVISION))
+    private val change =
+        MapChange(versionFloor = MapVersion(since.value * VERSIONS_PER_REVISION), ownRank = ownRank)
     private val planner = MapPlanner(layout)
     private var plannedAt = Timestamp.ZERO
     private var proving = false
@@ -89,10 +93,14 @@
         links.clear()
     }
 
-    private fun view(now: Timestamp): Map<Int, RankObservation> =
-        links.values.mapNotNull {
-            it.observation
-        }.filter { now - it.observedAt < interval * MOST_AGE }.associateBy { it.rank }
+    private fun view(now: Timestamp): Map<Int, RankObservation> {
+        val recent = links.values.mapNotNull { it.observation }.filter { now - it.observedAt < mostAge }
+        return recent.associateBy { it.rank }
+    }
+
+    /** During a switch old observations are acted on: arming and releasing are safe, and the whole group waits. */
+    private val mostAge: Duration
+        get() = if (change.phase is ChangePhase.Switching) SWITCH_AGE else interval * MOST_AGE
 
     /** Plans, in steps, beside what every observation calls for. */
     private fun tick() {
@@ -204,6 +212,9 @@
         /** Intervals of statuses after which an observation is not acted on. */
         const val MOST_AGE = 4
 
+        /** Longer than an agent's instance is suspended or restarted; a group that breaks has another epoch. */
+        val SWITCH_AGE: Duration = 8.seconds
+
         /** Four times a second: demand shifts every few seconds. */
         val SHORTEST_INTERVAL: Duration = 240.milliseconds
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -220,7 +220,7 @@
             if (layout == null) {
                 loop.schedule({ coordinate(since) }, RETRY_MILLIS, TimeUnit.MILLISECONDS)
             } else {
-                coordinator = GroupCoordinator(loop, log, layout, since, prove = election::prove)
+                coordinator = GroupCoordinator(loop, log, layout, since, ownRank = { rank }, prove = election::prove)
             }
         }
     }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankLink.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankLink.kt
@@ -1,7 +1,9 @@
 /**
  * The coordinator's way to one rank, through the agent beside it.
  *
- * Sends one order at a time, and keeps the newest observation. Runs on the control thread.
+ * Sends one order at a time, and keeps the newest observation. While an agent is silent, the orders that end a hold go
+ * straight to the replica: the whole group waits for them, and they are safe whoever sends them. Runs on the control
+ * thread.
  */
 package org.jujubelead.gateway.rank
 
@@ -33,6 +35,8 @@
     private val log: EventLog,
 ) {
     private val caller = HttpCaller(agent, loop, ORDER_TIMEOUT)
+    private val direct = HttpCaller(replica, loop, DIRECT_TIMEOUT)
+    private var agentSilent = false
 
     var observation: RankObservation? = null
         private set
@@ -49,11 +53,17 @@
         // The agent's clock begins anew when its instance does.
         val comparable = last != null && now - last.observedAt < READING_MEMORY
         if (comparable && reading.readAtMicros < readAtMicros) return
-        observation = decodeRankReport(reading.report, now).getOrElse {
+        if (take(reading.report, now)) readAtMicros = reading.readAtMicros
+        agentSilent = false
+    }
+
+    private fun take(report: String, now: Timestamp): Boolean {
+        val read = decodeRankReport(report, now).getOrElse {
             log.log(LogEvent.RANK_UNREADABLE, "replica" to replica, "detail" to it.detail)
-            return
-        }.observation
-        readAtMicros = reading.readAtMicros
+            return false
+        }
+        observation = read.observation
+        return true
     }
 
     /** Sends [order] unless one is on its way, or this one was accepted and may not show yet; tells whether it did. */
@@ -63,26 +73,48 @@
         val underWay = order == accepted && now - acceptedAt < REPEAT_PAUSE
         if (inFlight || underWay || now < notBefore) return false
         inFlight = true
-        val message = RankOrder(term, encodeOrder(order, seen.epoch))
-        caller.post(RankPaths.ORDER, rankJson.encodeToString(RankOrder.serializer(), message)) { result ->
+        val body = encodeOrder(order, seen.epoch)
+        val endsHold = order is MapOrder.Arm || order is MapOrder.Release
+        if (agentSilent && endsHold) sendDirectly(order, body, now, done) else sendByAgent(order, body, now, done)
+        return true
+    }
+
+    private fun sendByAgent(order: MapOrder, body: String, sentAt: Timestamp, done: () -> Unit) {
+        val message = rankJson.encodeToString(RankOrder.serializer(), RankOrder(term, body))
+        caller.post(RankPaths.ORDER, message) { result ->
             inFlight = false
-            val answer = result.get()?.takeIf { it.status == STATUS_OK }
-            ended(order, answer?.let { rankJson.decodeFromString(OrderResult.serializer(), it.body) }, now)
+            agentSilent = result.get() == null
+            val outcome = result.get()?.takeIf { it.status == STATUS_OK }
+                ?.let { rankJson.decodeFromString(OrderResult.serializer(), it.body) }
+            ended(order, outcome?.status, outcome?.observed?.report, sentAt)
+            outcome?.observed?.let(::observed)
             done()
         }
-        return true
     }
 
-    private fun ended(order: MapOrder, outcome: OrderResult?, sentAt: Timestamp) {
+    private fun sendDirectly(order: MapOrder, body: String, sentAt: Timestamp, done: () -> Unit) {
+        direct.post(RankCalls.ORDER_PATH, body) { result ->
+            direct.get(RankCalls.REPORT_PATH) { read ->
+                inFlight = false
+                val report = read.get()?.takeIf { it.status == STATUS_OK }?.body
+                ended(order, result.get()?.status, report, sentAt)
+                if (report != null) take(report, ProcessClock.now())
+                done()
+            }
+        }
+    }
+
+    private fun ended(order: MapOrder, status: Int?, report: String?, sentAt: Timestamp) {
         val now = ProcessClock.now()
-        val done = outcome?.status in RankCalls.ACCEPTED
+        val done = status in RankCalls.ACCEPTED
         log.log(
             if (done) LogEvent.MAP_ORDER_ENDED else LogEvent.MAP_ORDER_FAILED,
             "rank" to observation?.rank,
             "order" to order,
-            "status" to outcome?.status,
+            "status" to status,
+            "agentSilent" to agentSilent,
             "millis" to (now - sentAt).inWholeMilliseconds,
-            "report" to if (done) null else outcome?.observed?.report,
+            "report" to if (done) null else report,
         )
         if (done) {
             accepted = order
@@ -90,7 +122,6 @@
         } else {
             notBefore = now + FAILED_PAUSE
         }
-        outcome?.observed?.let(::observed)
     }
 
     /** Asks which experts the rank holds in each set. */
@@ -105,11 +136,15 @@
         }
     }
 
-    fun close() = caller.close()
+    fun close() {
+        caller.close()
+        direct.close()
+    }
 
     private companion object {
         /** An agent's own time limits for an order and the report after it, and the way there. */
         val ORDER_TIMEOUT: Duration = 450.milliseconds
+        val DIRECT_TIMEOUT: Duration = 250.milliseconds
 
         /** A rank needs some time to load experts and to show it. */
         val REPEAT_PAUSE: Duration = 900.milliseconds
--- /dev/null
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/RankLinkTest.kt
@@ -0,0 +1,96 @@
+package org.jujubelead.gateway.rank
+
+import io.netty.channel.Channel
+import io.netty.channel.nio.NioEventLoopGroup
+import org.jujubelead.core.expertmap.ArmedMap
+import org.jujubelead.core.expertmap.MapOrder
+import org.jujubelead.core.expertmap.MapVersion
+import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.gateway.net.HttpAnswer
+import org.jujubelead.gateway.net.listen
+import org.jujubelead.gateway.net.servicePipeline
+import org.jujubelead.gateway.telemetry.EventLog
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import java.net.InetSocketAddress
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.TimeUnit
+
+@Timeout(20)
+class RankLinkTest {
+    private val group = NioEventLoopGroup(1)
+    private val atReplica = ConcurrentLinkedQueue<String>()
+    private val armed = """{"version":7,"step":30}"""
+
+    private fun report(armed: String) =
+        """{"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":1,"step":20,"mapping":0,"prepared":7,""" +
+            """"armed":$armed,"held":30}"""
+
+    private val replica = listen(Endpoint("127.0.0.1", 0), group) {
+        servicePipeline(
+            mapOf(
+                "/order" to { body, answer ->
+                    atReplica += body
+                    answer(HttpAnswer(200, ""))
+                },
+                "/report" to { _, answer -> answer(HttpAnswer(200, report(armed))) },
+            ),
+        )
+    }
+
+    /** An agent whose process is suspended: it takes connections and never answers. */
+    private val agent = listen(Endpoint("127.0.0.1", 0), group) {
+        servicePipeline(mapOf(RankPaths.ORDER to { _, _ -> }))
+    }
+
+    private fun endpoint(of: Channel) = Endpoint(
+        "127.0.0.1",
+        (of.localAddress() as InetSocketAddress).port,
+    )
+
+    private val link = RankLink(
+        endpoint(agent),
+        endpoint(replica),
+        term = 1,
+        loop = group.next(),
+        log = EventLog(),
+    ).apply {
+        observed(RankReading(readAtMicros = 1, report = report("null")))
+    }
+
+    private fun send(order: MapOrder) {
+        val done = CompletableFuture<Unit>()
+        group.next().execute { if (!link.send(order) { done.complete(Unit) }) done.complete(Unit) }
+        done.get()
+        Thread.sleep(80)
+    }
+
+    @AfterEach
+    fun stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS)
+    }
+
+    /** Guards against a group that is held for as long as one agent is suspended. */
+    @Test
+    fun `orders that end a hold go around a silent agent`() {
+        val arm = MapOrder.Arm(MapVersion(7), 30)
+        send(arm)
+        expectThat(atReplica).isEmpty()
+        send(arm)
+        expectThat(atReplica.size).isEqualTo(1)
+        expectThat(link.observation?.armed).isEqualTo(ArmedMap(MapVersion(7), 30))
+    }
+
+    /** Guards against a deposed coordinator that begins a change around the agents, which would refuse it. */
+    @Test
+    fun `orders that begin a change never go around the agent`() {
+        repeat(2) { send(MapOrder.Hold(30)) }
+        repeat(2) { send(MapOrder.Prepare(MapVersion(8), emptyList())) }
+        expectThat(atReplica).isEmpty()
+    }
+}
