Parse addresses, read answers and decode pages in one place each

Cause: a read of the whole change. HOST:PORT was parsed in five places, the body of a successful call was taken out in ten, each page of the replica list was decoded twice, and two names of the wire stood outside platform/. Ruled out: joining the leases of PeerDirectory and LeaderElection (one writes unconditionally, the other only if the key is absent, and they renew by other rules). Change: Endpoint.parse, successBody, pages decoded as they are read, the variable of the settings path in platform/wire, revision for storeRevision; Ticket.arrivedAt, which nothing read, is gone. Ports in settings must be between 1 and 65535. Conclusion: behaviour is otherwise unchanged.

--- a/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
@@ -29,7 +29,6 @@
     public val priority: Int,
     public val onTimeUntil: Timestamp,
     public val usefulUntil: Timestamp,
-    public val arrivedAt: Timestamp,
     public val excluded: Set<ReplicaId> = emptySet(),
 )
 
--- a/core/src/main/kotlin/org/jujubelead/core/replica/Replica.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/replica/Replica.kt
@@ -15,6 +15,17 @@
 /** Where a replica listens. */
 public data class Endpoint(val host: String, val port: Int) {
     override fun toString(): String = "$host:$port"
+
+    public companion object {
+        private const val MOST_PORTS = 65_535
+
+        /** Reads `HOST:PORT`; null when [text] is not that. */
+        public fun parse(text: String): Endpoint? {
+            val port = text.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..MOST_PORTS } ?: return null
+            val host = text.substringBeforeLast(':').ifEmpty { return null }
+            return Endpoint(host, port)
+        }
+    }
 }
 
 /**
--- a/core/src/main/kotlin/org/jujubelead/core/replica/ReplicaDirectory.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/replica/ReplicaDirectory.kt
@@ -29,14 +29,14 @@
     }
 
     /**
-     * Takes in a complete list that was asked for at [sentAt] and holds for [storeRevision]. A list that is older than
+     * Takes in a complete list that was asked for at [sentAt] and holds for [revision]. A list that is older than
      * one already taken in is ignored. Returns true when the usable replicas changed.
      */
-    public fun listed(list: List<Replica>, storeRevision: Long, sentAt: Timestamp): Boolean {
+    public fun listed(list: List<Replica>, revision: Long, sentAt: Timestamp): Boolean {
         val last = lastSentAt
-        if ((last != null && sentAt < last) || storeRevision < lastRevision) return false
+        if ((last != null && sentAt < last) || revision < lastRevision) return false
         lastSentAt = sentAt
-        lastRevision = storeRevision
+        lastRevision = revision
         val before = usable.values.toList()
         val ids = list.mapTo(HashSet()) { it.id }
         if (outageUntil?.let { sentAt > it } != false) usable.keys.retainAll(ids)
--- a/core/src/test/kotlin/org/jujubelead/core/dispatch/ServiceQueueTest.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/dispatch/ServiceQueueTest.kt
@@ -37,7 +37,7 @@
         onTime: Duration = 200.milliseconds,
         useful: Duration = 2.seconds,
         excluded: Set<ReplicaId> = emptySet(),
-    ) = Ticket(priority, onTimeUntil = at + onTime, usefulUntil = at + useful, arrivedAt = at, excluded = excluded)
+    ) = Ticket(priority, onTimeUntil = at + onTime, usefulUntil = at + useful, excluded = excluded)
 
     private fun submit(t: Ticket = ticket(), now: Timestamp = start) = queue.submit(t, now)
 
--- a/core/src/test/kotlin/org/jujubelead/core/replica/ReplicaDirectoryTest.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/replica/ReplicaDirectoryTest.kt
@@ -24,7 +24,7 @@
     )
 
     private fun list(at: Int, vararg replicas: Replica, revision: Long = at.toLong()) =
-        directory.listed(replicas.toList(), storeRevision = revision, sentAt = start + at.seconds)
+        directory.listed(replicas.toList(), revision = revision, sentAt = start + at.seconds)
 
     private fun usable() = directory.replicas.map { it.id.value }
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/Main.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/Main.kt
@@ -13,18 +13,18 @@
 import org.jujubelead.gateway.telemetry.Defects
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
+import org.jujubelead.platform.wire.SETTINGS_PATH_VARIABLE
 import sun.misc.Signal
 import java.io.File
 import java.io.IOException
 import kotlin.system.exitProcess
 
-/** Variable with the path of the settings file. */
-private const val SETTINGS_VARIABLE = "JUJUBELEAD_BOOT"
 private const val EXIT_USAGE = 2
 
 public fun main(args: Array<String>) {
     val path =
-        args.getOrNull(1) ?: System.getenv(SETTINGS_VARIABLE) ?: usage("$SETTINGS_VARIABLE names no settings file")
+        args.getOrNull(1) ?: System.getenv(SETTINGS_PATH_VARIABLE)
+            ?: usage("$SETTINGS_PATH_VARIABLE names no settings file")
     val description = read(path).getOrElse { faults ->
         faults.forEach { System.err.println("$path: ${it.path}: ${it.message}") }
         exitProcess(EXIT_USAGE)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -94,7 +94,6 @@
             priority = workspace?.priority ?: route.priority,
             onTimeUntil = request.arrivedAt + route.objective * ON_TIME_SHARE,
             usefulUntil = minOf(request.arrivedAt + patience * USEFUL_SHARE, deadline).coerceAtLeast(now),
-            arrivedAt = request.arrivedAt,
             excluded = tried.toSet(),
         )
         ticket = t
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpCaller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpCaller.kt
@@ -9,6 +9,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.EventLoop
@@ -28,6 +29,11 @@
 /** A call without a whole answer. It may have taken effect, now or later. */
 public data class CallFailure(val detail: String)
 
+/** The body of an answer with status 200; null for any other outcome. */
+public fun Result<HttpAnswer, CallFailure>.successBody(): String? = get()?.takeIf { it.status == STATUS_OK }?.body
+
+private const val STATUS_OK = 200
+
 /** @param timeout of one call. */
 public class HttpCaller(public val endpoint: Endpoint, private val loop: EventLoop, private val timeout: Duration) {
     private val pool = ConnectionPool(endpoint, loop, connectTimeout = timeout)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/PeerDirectory.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/PeerDirectory.kt
@@ -12,6 +12,7 @@
 import org.jujubelead.core.ids.ZoneId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.gateway.net.HttpCaller
+import org.jujubelead.gateway.net.successBody
 import org.jujubelead.platform.wire.LeaseId
 import org.jujubelead.platform.wire.StoreCalls
 import org.jujubelead.platform.wire.decodeLease
@@ -44,7 +45,7 @@
         val held = lease
         if (held != null) return renew(held)
         store.post(StoreCalls.LEASE_PATH, StoreCalls.lease(LEASE_TIME)) { result ->
-            val granted = result.get()?.takeIf { it.status == STATUS_OK }?.let { decodeLease(it.body).get() }
+            val granted = result.successBody()?.let { decodeLease(it).get() }
             if (granted == null) return@post later(RETRY)
             val write = StoreCalls.writeUnderLease(
                 "$PREFIX${instance.value}",
@@ -71,7 +72,7 @@
 
     private fun list() {
         store.get(StoreCalls.possiblyStaleRange(PREFIX)) { result ->
-            val body = result.get()?.takeIf { it.status == STATUS_OK }?.body
+            val body = result.successBody()
             val peers = body?.let { decodeTexts(it).get() }?.mapNotNull(::peer)?.filter { it.endpoint != own.endpoint }
             if (peers != null && peers != known) {
                 known = peers
@@ -84,8 +85,7 @@
 
     private fun peer(text: String): Peer? {
         val zone = text.substringBefore(' ')
-        val port = text.substringAfterLast(':', "").toIntOrNull() ?: return null
-        return Peer(Endpoint(text.substringAfter(' ').substringBeforeLast(':'), port), ZoneId(zone))
+        return Peer(Endpoint.parse(text.substringAfter(' ')) ?: return null, ZoneId(zone))
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -71,8 +71,8 @@
 
     private fun take(status: RankStatus) {
         val now = ProcessClock.now()
-        val replica = endpoint(status.replica) ?: return
-        val agent = endpoint(status.agent) ?: return
+        val replica = Endpoint.parse(status.replica) ?: return
+        val agent = Endpoint.parse(status.agent) ?: return
         val link = links[replica]?.takeIf { it.agent == agent }
             ?: RankLink(agent, replica, since.value, loop, log).also { links.put(replica, it)?.close() }
         link.observed(status.observed)
@@ -205,9 +205,6 @@
         log.log(LogEvent.MAP_CHANGE_STEP, "step" to phase::class.simpleName, "details" to details)
     }
 
-    private fun endpoint(text: String): Endpoint? =
-        text.substringAfterLast(':').toIntOrNull()?.let { Endpoint(text.substringBeforeLast(':'), it) }
-
     private companion object {
         /** Intervals of statuses after which an observation is not acted on. */
         const val MOST_AGE = 4
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -21,6 +21,7 @@
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.listen
 import org.jujubelead.gateway.net.servicePipeline
+import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.settings.ProcessDescription
 import org.jujubelead.gateway.store.LeaderElection
 import org.jujubelead.gateway.store.Leadership
@@ -115,7 +116,7 @@
             if (reading == null) return@read
             decodeRankReport(reading.report, ProcessClock.now()).get()?.let { rank = it.observation.rank }
             replica.get(RankCalls.CHOICES_PATH) { counted ->
-                val counts = counted.get()?.takeIf { it.status == STATUS_OK }?.let { decodeChoices(it.body).get() }
+                val counts = counted.successBody()?.let { decodeChoices(it).get() }
                 val (firstSet, choices) = sample(newChoices(counts.orEmpty()))
                 val status = RankStatus(
                     term = following,
@@ -127,7 +128,7 @@
                 )
                 to.post(RankPaths.STATUS, rankJson.encodeToString(RankStatus.serializer(), status)) { answered ->
                     // A lost status is replaced by the next one.
-                    val body = answered.get()?.takeIf { it.status == STATUS_OK }?.body
+                    val body = answered.successBody()
                     if (body != null) reply = rankJson.decodeFromString(StatusReply.serializer(), body)
                 }
             }
@@ -150,7 +151,7 @@
     private fun read(done: (RankReading?) -> Unit) {
         val readAt = ProcessClock.now()
         replica.get(RankCalls.REPORT_PATH) { result ->
-            done(result.get()?.takeIf { it.status == STATUS_OK }?.let { RankReading(readAt.micros, it.body) })
+            done(result.successBody()?.let { RankReading(readAt.micros, it) })
         }
     }
 
@@ -214,7 +215,7 @@
     /** Reads the layout of experts, and starts to coordinate with it. */
     private fun coordinate(since: Revision) {
         store.get(StoreCalls.CONFIGURATION_PATH) { result ->
-            val body = result.get()?.takeIf { it.status == STATUS_OK }?.body
+            val body = result.successBody()
             val layout = body?.let { expertLayout(it, service) }
             if (election.leadership != Leadership.Leader(since)) return@get
             if (layout == null) {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankLink.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankLink.kt
@@ -16,6 +16,7 @@
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.HttpCaller
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.RankCalls
@@ -84,8 +85,7 @@
         caller.post(RankPaths.ORDER, message) { result ->
             inFlight = false
             agentSilent = result.get() == null
-            val outcome = result.get()?.takeIf { it.status == STATUS_OK }
-                ?.let { rankJson.decodeFromString(OrderResult.serializer(), it.body) }
+            val outcome = result.successBody()?.let { rankJson.decodeFromString(OrderResult.serializer(), it) }
             ended(order, outcome?.status, outcome?.observed?.report, sentAt)
             outcome?.observed?.let(::observed)
             done()
@@ -96,7 +96,7 @@
         direct.post(RankCalls.ORDER_PATH, body) { result ->
             direct.get(RankCalls.REPORT_PATH) { read ->
                 inFlight = false
-                val report = read.get()?.takeIf { it.status == STATUS_OK }?.body
+                val report = read.successBody()
                 ended(order, result.get()?.status, report, sentAt)
                 if (report != null) take(report, ProcessClock.now())
                 done()
@@ -127,7 +127,7 @@
     /** Asks which experts the rank holds in each set. */
     fun heldExperts(done: (List<List<Int>>?) -> Unit) {
         caller.get(RankPaths.HELD_EXPERTS) { result ->
-            val body = result.get()?.takeIf { it.status == STATUS_OK }?.body ?: return@get done(null)
+            val body = result.successBody() ?: return@get done(null)
             val held = decodeHeldExperts(body).getOrElse {
                 log.log(LogEvent.RANK_UNREADABLE, "replica" to replica, "detail" to it.detail)
                 null
@@ -152,6 +152,5 @@
         /** The next observation may show why an order failed. */
         val FAILED_PAUSE: Duration = 60.milliseconds
         val READING_MEMORY: Duration = 1.seconds
-        const val STATUS_OK = 200
     }
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/settings/ProcessDescription.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/settings/ProcessDescription.kt
@@ -162,10 +162,9 @@
     fun optionalEndpoint(name: String): Endpoint? = if (fields[name] == null) null else endpoint(name)
 
     fun endpoint(name: String): Endpoint {
-        val value = fields[name] as? String
-        val port = value?.substringAfterLast(':', "")?.toIntOrNull()
-        if (port == null) fault(name, "must be HOST:PORT")
-        return Endpoint(value?.substringBeforeLast(':').orEmpty(), port ?: 0)
+        val value = (fields[name] as? String)?.let(Endpoint::parse)
+        if (value == null) fault(name, "must be HOST:PORT")
+        return value ?: Endpoint("", 0)
     }
 
     private fun fault(name: String, message: String) {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
@@ -14,6 +14,7 @@
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.gateway.net.HttpCaller
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.LeaseId
@@ -95,21 +96,21 @@
     }
 
     private fun follow(stored: StoredText) {
-        val port = stored.text.substringAfterLast(':').toIntOrNull()
+        val leader = Endpoint.parse(stored.text) ?: return
         val known = (leadership as? Leadership.Follower)?.since
         // A stale read may name an earlier leader.
-        if (port == null || (known != null && stored.revision < known)) return
-        become(Leadership.Follower(Endpoint(stored.text.substringBeforeLast(':'), port), stored.revision))
+        if (known != null && stored.revision < known) return
+        become(Leadership.Follower(leader, stored.revision))
     }
 
     private fun contend() {
         val askedAt = ProcessClock.read()
         store.post(StoreCalls.LEASE_PATH, StoreCalls.lease(LEASE_TIME)) { result ->
-            val granted = result.get()?.takeIf { it.status == STATUS_OK }?.let { decodeLease(it.body).get() }
+            val granted = result.successBody()?.let { decodeLease(it).get() }
             if (granted == null) return@post again(LOOK_INTERVAL)
             val write = StoreCalls.createUnderLease(key, own.toString(), granted)
             store.post(StoreCalls.TRANSACTION_PATH, write) { written ->
-                val since = written.get()?.takeIf { it.status == STATUS_OK }?.let { decodeWritten(it.body).get() }
+                val since = written.successBody()?.let { decodeWritten(it).get() }
                 if (since != null) {
                     lease = granted
                     renewedAt = askedAt
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaFollower.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaFollower.kt
@@ -48,25 +48,26 @@
         if (!relay.shared) return readStore()
         relay.ask { pages, sentAt ->
             if (pages == null) return@ask readStore()
-            take(pages, sentAt)
+            val read = pages.mapNotNull(::decode)
+            if (read.size == pages.size) take(read, sentAt)
             again(ProcessClock.now(), pollInterval / RELAY_RATE)
         }
     }
 
-    private fun readStore() = readPage(after = null, earlier = emptyList(), sentAt = ProcessClock.read())
+    private fun readStore() = readPage(after = null, bodies = emptyList(), pages = emptyList(), ProcessClock.read())
 
-    private fun readPage(after: String?, earlier: List<String>, sentAt: ClockReading) {
+    private fun readPage(after: String?, bodies: List<String>, pages: List<ReplicaPage>, sentAt: ClockReading) {
         store.get(StoreCalls.replicaPage(after)) { result ->
             result.onFailure { failed(it.detail) }
             val answer = result.get()
             if (answer != null && answer.status != STATUS_OK) failed("status ${answer.status}")
             val body = answer?.takeIf { it.status == STATUS_OK }?.body
             val page = body?.let(::decode)
-            val next = page?.next
-            if (body != null && next != null) return@get readPage(next, earlier + body, sentAt)
             if (body != null && page != null) {
-                relay.read(sentAt, earlier + body)
-                take(earlier + body, sentAt.monotonic)
+                val next = page.next
+                if (next != null) return@get readPage(next, bodies + body, pages + page, sentAt)
+                relay.read(sentAt, bodies + body)
+                take(pages + page, sentAt.monotonic)
             }
             again(sentAt.monotonic, if (known == null) START_INTERVAL else pollInterval)
         }
@@ -82,8 +83,7 @@
         onLost(detail)
     }
 
-    private fun take(bodies: List<String>, sentAt: Timestamp) {
-        val pages = bodies.map { decode(it) ?: return }
+    private fun take(pages: List<ReplicaPage>, sentAt: Timestamp) {
         val unreadable = pages.sumOf { it.unreadable }
         if (unreadable != lastUnreadable) log.log(LogEvent.REPLICA_ENTRIES_UNREADABLE, "count" to unreadable)
         lastUnreadable = unreadable
@@ -97,7 +97,7 @@
             "usable" to after.size,
             "added" to (after - before).joinToString(" "),
             "removed" to (before - after).joinToString(" "),
-            "storeRevision" to revision,
+            "revision" to revision,
             "ageMillis" to (ProcessClock.now() - sentAt).inWholeMilliseconds,
         )
         known = directory.replicas
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaRelay.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaRelay.kt
@@ -7,7 +7,6 @@
  */
 package org.jujubelead.gateway.store
 
-import com.github.michaelbull.result.get
 import io.netty.channel.EventLoop
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
@@ -17,6 +16,7 @@
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.HttpCaller
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.peers.Peer
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -67,7 +67,7 @@
         val askedAt = ProcessClock.now()
         val from = reader ?: return done(null, askedAt)
         from.get(PATH) { result ->
-            val body = result.get()?.takeIf { it.status == STATUS_OK }?.body
+            val body = result.successBody()
             val list = body?.let { Json.decodeFromString(SharedList.serializer(), it) }
             val age = list?.ageMillis?.milliseconds
             if (age == null || age > mostAge) done(null, askedAt) else done(list.pages, askedAt - age)
@@ -80,6 +80,5 @@
 
         /** Gateways of one zone are within a millisecond of each other. */
         private val TIMEOUT: Duration = 150.milliseconds
-        private const val STATUS_OK = 200
     }
 }
