Keep the platform's names out of the gateway's tests

Cause: four tests spelled header names, a path and fields of the platform, and the store's revision had its name on the wire in types outside the adapter. Conclusion: no change of behaviour."

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaFollower.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaFollower.kt
@@ -87,7 +87,7 @@
         val unreadable = pages.sumOf { it.unreadable }
         if (unreadable != lastUnreadable) log.log(LogEvent.REPLICA_ENTRIES_UNREADABLE, "count" to unreadable)
         lastUnreadable = unreadable
-        val revision = pages.last().storeRevision
+        val revision = pages.last().revision
         val changed = directory.listed(pages.flatMap { it.replicas }, revision, sentAt)
         if (!changed && known != null) return
         val before = known.orEmpty().mapTo(HashSet()) { it.id.value }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/FakeReplica.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/FakeReplica.kt
@@ -1,6 +1,7 @@
 /** A replica on loopback that answers each request with bytes of the test's choice. */
 package org.jujubelead.gateway.caller
 
+import org.jujubelead.platform.wire.Headers
 import java.io.BufferedInputStream
 import java.io.IOException
 import java.io.OutputStream
@@ -11,7 +12,7 @@
 import java.util.concurrent.CountDownLatch
 
 internal class ReceivedRequest(val line: String, val headers: Map<String, String>, val body: String) {
-    val id: String get() = headers.getValue("attempt-id")
+    val id: String get() = headers.getValue(Headers.REQUEST_ID.lowercase())
 }
 
 /** What a test does with a request; [socket] can be closed or reset. */
@@ -22,12 +23,15 @@
     }
 
     fun ok(body: String, id: String = request.id) =
-        raw("HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nReplica-Seal: s\r\nContent-Length: ${body.length}\r\n\r\n$body")
+        raw(
+            "HTTP/1.1 200 OK\r\n${Headers.REQUEST_ID}: $id\r\n${Headers.REPLICA_SEAL}: s\r\nContent-Length: ${body.length}\r\n\r\n$body",
+        )
 
-    fun full() = raw("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+    fun full() = raw("HTTP/1.1 503 Full\r\n${Headers.NOT_RUN}: 1\r\nContent-Length: 0\r\n\r\n")
 
     fun streamHead() = raw(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: ${request.id}\r\nReplica-Seal: s\r\nContent-Type: text/event-stream\r\n" +
+        "HTTP/1.1 200 OK\r\n${Headers.REQUEST_ID}: ${request.id}\r\n${Headers.REPLICA_SEAL}: s\r\n" +
+            "Content-Type: text/event-stream\r\n" +
             "Transfer-Encoding: chunked\r\n\r\n",
     )
 
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/ForwardingTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/ForwardingTest.kt
@@ -1,5 +1,6 @@
 package org.jujubelead.gateway.caller
 
+import org.jujubelead.platform.wire.Headers
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
@@ -27,19 +28,19 @@
                 val answer = gateway.connect().request(
                     "/once/x?q=%20a",
                     body = "b",
-                    extra = "Tenant: other\r\nX-Own: 1\r\n",
+                    extra = "${Headers.WORKSPACE}: other\r\nX-Own: 1\r\n",
                 )
                 expectThat(answer.status).isEqualTo(200)
                 expectThat(answer.body).isEqualTo("yes")
-                expectThat(answer.headers["replica-seal"]).isEqualTo("s")
+                expectThat(answer.headers[Headers.REPLICA_SEAL.lowercase()]).isEqualTo("s")
                 val seen = replica.requests.single()
                 expectThat(seen.line).isEqualTo("POST /once/x?q=%20a HTTP/1.1")
                 expectThat(seen.body).isEqualTo("b")
-                expectThat(seen.headers["tenant"]).isEqualTo("acme")
+                expectThat(seen.headers[Headers.WORKSPACE.lowercase()]).isEqualTo("acme")
                 expectThat(seen.headers["authorization"]).isNull()
                 expectThat(seen.headers["x-own"]).isEqualTo("1")
-                expectThat(seen.headers["expect-replica"]).isEqualTo("r0")
-                expectThat(checkNotNull(seen.headers["deadline-ms"]).toInt()).isLessThanOrEqualTo(1900)
+                expectThat(seen.headers[Headers.EXPECTED_REPLICA.lowercase()]).isEqualTo("r0")
+                expectThat(checkNotNull(seen.headers[Headers.TIME_LEFT.lowercase()]).toInt()).isLessThanOrEqualTo(1900)
             }
         }
     }
@@ -49,7 +50,7 @@
     fun `an answer of another request, or without a seal, is not passed on`() {
         val answers = listOf<(Reply) -> Unit>(
             { it.ok("not yours", id = "other") },
-            { it.raw("HTTP/1.1 200 OK\r\nAttempt-Id: ${it.request.id}\r\nContent-Length: 2\r\n\r\nno") },
+            { it.raw("HTTP/1.1 200 OK\r\n${Headers.REQUEST_ID}: ${it.request.id}\r\nContent-Length: 2\r\n\r\nno") },
         )
         for (answer in answers) {
             FakeReplica(answer).use { replica ->
@@ -85,7 +86,7 @@
     fun `a cut answer is a failure, and an idempotent request is tried elsewhere`() {
         val cutting = FakeReplica {
             it.raw(
-                "HTTP/1.1 200 OK\r\nAttempt-Id: ${it.request.id}\r\nReplica-Seal: s\r\nContent-Length: 10\r\n\r\nhalf",
+                "HTTP/1.1 200 OK\r\n${Headers.REQUEST_ID}: ${it.request.id}\r\n${Headers.REPLICA_SEAL}: s\r\nContent-Length: 10\r\n\r\nhalf",
             )
             it.close()
         }
@@ -123,7 +124,7 @@
                 val answer = gateway.connect().request("/once/x")
                 expectThat(answer.status).isEqualTo(503)
                 expectThat(answer.headers["retry-after"]).isNotNull()
-                expectThat(answer.headers["replica-seal"]).isNull()
+                expectThat(answer.headers[Headers.REPLICA_SEAL.lowercase()]).isNull()
             }
         }
     }
@@ -149,7 +150,7 @@
                     val events = (1..6).joinToString("") { "id: $it\ndata: e$it\n\n" }
                     expectThat(answer.body).isEqualTo(events)
                     expectThat(answer.whole).isTrue()
-                    expectThat(second.requests.single().headers["last-event-id"]).isEqualTo("3")
+                    expectThat(second.requests.single().headers[Headers.LAST_EVENT_ID.lowercase()]).isEqualTo("3")
                 }
             }
         }
@@ -196,7 +197,8 @@
                 val hidden = "GET /once/hidden HTTP/1.1\r\n\r\n"
                 val caller = gateway.connect()
                 caller.send(
-                    "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nAuthorization: Token good-key\r\n" +
+                    "POST /once/x HTTP/1.1\r\nHost: h.example\r\n${Headers.REQUEST_ID}: a\r\n" +
+                        "Authorization: ${Headers.KEY_SCHEME} good-key\r\n" +
                         "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n$hidden",
                 )
                 expectThat(caller.answer().status).isEqualTo(400)
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/GatewayFixture.kt
@@ -23,6 +23,7 @@
 import org.jujubelead.gateway.store.ControlState
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.GatewayMetrics
+import org.jujubelead.platform.wire.Headers
 import java.io.IOException
 import java.io.PrintStream
 import java.net.InetSocketAddress
@@ -136,8 +137,8 @@
             key: String = "good-key",
             extra: String = "",
         ) = send(
-            "POST $path HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: $id\r\nDeadline-Ms: 1900\r\n" +
-                "Authorization: Token $key\r\nContent-Length: ${body.length}\r\n$extra\r\n$body",
+            "POST $path HTTP/1.1\r\nHost: h.example\r\n${Headers.REQUEST_ID}: $id\r\n${Headers.TIME_LEFT}: 1900\r\n" +
+                "Authorization: ${Headers.KEY_SCHEME} $key\r\nContent-Length: ${body.length}\r\n$extra\r\n$body",
         )
 
         fun answer(): Answer {
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/store/ReplicaFollowerTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/store/ReplicaFollowerTest.kt
@@ -10,6 +10,7 @@
 import org.jujubelead.gateway.net.servicePipeline
 import org.jujubelead.gateway.peers.Peer
 import org.jujubelead.gateway.telemetry.EventLog
+import org.jujubelead.platform.wire.StoreCalls
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -19,7 +20,6 @@
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNull
 import java.net.InetSocketAddress
-import java.util.Base64
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -34,19 +34,15 @@
     @Volatile
     private var storeUp = true
 
-    private fun page(): String {
-        val entry = """{"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","born":5}"""
-        val value = Base64.getEncoder().encodeToString(entry.toByteArray())
-        return """{"items":[{"key":"servers/a","value":"$value","revision":1,"created":1,"lease":0}],""" +
-            """"hasMore":false,"storeRevision":${reads.get()}}"""
-    }
+    /** One page with one replica, as the platform's store answers it. */
+    private val page = checkNotNull(javaClass.getResource("/replica-page.json")).readText()
 
     private val store = listen(Endpoint("127.0.0.1", 0), group) {
         servicePipeline(
             mapOf(
-                "/kv-range" to { _, answer ->
+                StoreCalls.replicaPage(after = null).substringBefore('?') to { _, answer ->
                     reads.incrementAndGet()
-                    answer(if (storeUp) HttpAnswer(200, page()) else HttpAnswer(503, ""))
+                    answer(if (storeUp) HttpAnswer(200, page) else HttpAnswer(503, ""))
                 },
             ),
         )
