Announce a new coordinator to all agents, and take the own key over after a restart

Change: a process that finds its own address in the key takes it over under a new revision. A new coordinator reads the replica list once and announces itself to the agent of each rank. Followers leave the store alone while the coordinator answers their statuses. The lease is 2 s instead of 3 s. A line a second tells the time of a pass, the ranks' paces and the imbalance.

--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/MapPlanner.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/MapPlanner.kt
@@ -53,6 +53,17 @@
         }
     }
 
+    /** Load of the most loaded rank of each set over the mean of its ranks, averaged over the sets; null without choices. */
+    public fun imbalance(current: GroupMap): Double? {
+        val even = List(current.first().ranks.size) { 1.0 }
+        val factors = current.indices.mapNotNull { set ->
+            val sum = loads[set].sum()
+            if (sum <= 0) return@mapNotNull null
+            current[set].rankTimes(loads[set].map { it / sum }, even).max() * even.size
+        }
+        return if (factors.isEmpty()) null else factors.average()
+    }
+
     /**
      * Goes on planning by one set, which bounds the time of a call. Returns a proposal when the last set is planned and
      * the change is worth its cost, and null otherwise.
--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/RankObservation.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/RankObservation.kt
@@ -21,6 +21,7 @@
  * @property prepared the map that is loaded and not in use.
  * @property heldAt the pass that does not begin before it is released.
  * @property pace time of its own work relative to a sound rank.
+ * @property running requests that the rank is working on.
  * @property observedAt when the observation arrived at the coordinator.
  */
 public data class RankObservation(
@@ -34,5 +35,6 @@
     val armed: ArmedMap?,
     val heldAt: Long?,
     val pace: Double,
+    val running: Int,
     val observedAt: Timestamp,
 )
--- a/core/src/test/kotlin/org/jujubelead/core/expertmap/RankGroupModel.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/expertmap/RankGroupModel.kt
@@ -28,7 +28,7 @@
     fun observe(rank: Int, now: Timestamp): RankObservation = with(ranks[rank]) {
         RankObservation(
             rank = rank, size = size, epoch = epoch, open = true, step = step, map = map, prepared = prepared,
-            armed = armed, heldAt = heldAt, pace = 1.0, observedAt = now,
+            armed = armed, heldAt = heldAt, pace = 1.0, running = 0, observedAt = now,
         )
     }
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -53,6 +53,8 @@
     private var lastPhase: ChangePhase = ChangePhase.Idle
     private var wasComplete = false
     private var mapsUnderWay = 0
+    private var loggedStep = 0L
+    private var loggedAt = Timestamp.ZERO
 
     /** The share of the coordinator's link that statuses take does not grow with the group. */
     private val interval: Duration get() = maxOf(SHORTEST_INTERVAL, INTERVAL_PER_RANK * links.size)
@@ -61,6 +63,7 @@
 
     init {
         loop.every(TICK_MILLIS, "map change", ::tick)
+        loop.every(LOAD_LOG_MILLIS, "group load", ::logLoad)
     }
 
     /** Takes in what an agent says. Only agents that refuse orders of earlier terms count. */
@@ -192,6 +195,26 @@
         evaluate()
     }
 
+    private fun logLoad() {
+        val now = ProcessClock.now()
+        val view = view(now)
+        if (ended || !change.complete(view)) return
+        val step = view.values.maxOf { it.step }
+        val passes = step - loggedStep
+        if (passes > 0 && loggedStep > 0) {
+            val ranks = view.toSortedMap()
+            log.log(
+                LogEvent.GROUP_LOAD,
+                "passMillis" to (now - loggedAt).inWholeMilliseconds / passes,
+                "paces" to ranks.filterValues { it.pace > 1 }.entries.joinToString(" ") { "${it.key}:${it.value.pace}" },
+                "running" to ranks.values.joinToString(" ") { it.running.toString() },
+                "imbalance" to change.current?.let(planner::imbalance)?.let { "%.2f".format(it) },
+            )
+        }
+        loggedStep = step
+        loggedAt = now
+    }
+
     private fun logPhase() {
         val phase = change.phase
         if (phase::class == lastPhase::class) return
@@ -227,6 +250,7 @@
         /** Twice a second, so that a shift of demand is answered within a second or two. */
         val PLAN_INTERVAL: Duration = 500.milliseconds
         const val TICK_MILLIS = 30L
+        const val LOAD_LOG_MILLIS = 1_000L
 
         /** Changes that one leader makes at most. */
         const val VERSIONS_PER_REVISION = 10_000L
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -33,6 +33,7 @@
 import org.jujubelead.platform.wire.decodeChoices
 import org.jujubelead.platform.wire.decodeConfiguration
 import org.jujubelead.platform.wire.decodeRankReport
+import org.jujubelead.platform.wire.decodeReplicaPage
 import org.jujubelead.platform.wire.decodeStoredText
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -54,6 +55,7 @@
         key = "rank-groups/${service.value}",
         own = own,
         turn = { rank },
+        leaderAnswers = { ProcessClock.now() < leaderAnswersUntil },
         onChange = ::leadershipChanged,
     )
     private var rank = 0
@@ -72,6 +74,7 @@
     private var changingUntil = Timestamp.ZERO
     private var lastChoices: List<Int> = emptyList()
     private var leader: HttpCaller? = null
+    private var leaderAnswersUntil = Timestamp.ZERO
     private var coordinator: GroupCoordinator? = null
     private val stopped = CountDownLatch(1)
 
@@ -83,6 +86,7 @@
                     RankPaths.ORDER to { body, answer -> order(body, answer) },
                     RankPaths.HELD_EXPERTS to { _, answer -> heldExperts(answer) },
                     RankPaths.STATUS to { body, answer -> status(body, answer) },
+                    RankPaths.LEADER to { body, answer -> leaderAnnounced(body, answer) },
                 ),
             )
         }
@@ -129,7 +133,10 @@
                 to.post(RankPaths.STATUS, rankJson.encodeToString(RankStatus.serializer(), status)) { answered ->
                     // A lost status is replaced by the next one.
                     val body = answered.successBody()
-                    if (body != null) reply = rankJson.decodeFromString(StatusReply.serializer(), body)
+                    if (body != null) {
+                        reply = rankJson.decodeFromString(StatusReply.serializer(), body)
+                        leaderAnswersUntil = ProcessClock.now() + reply.interval.milliseconds + LEADER_SILENCE
+                    }
                 }
             }
         }
@@ -193,6 +200,12 @@
         answer(HttpAnswer(STATUS_OK, rankJson.encodeToString(StatusReply.serializer(), reply)))
     }
 
+    private fun leaderAnnounced(body: String, answer: (HttpAnswer) -> Unit) {
+        val said = rankJson.decodeFromString(LeaderAnnouncement.serializer(), body)
+        Endpoint.parse(said.leader)?.let { election.announced(it, Revision(said.term)) }
+        answer(HttpAnswer(STATUS_OK, ""))
+    }
+
     private fun leadershipChanged(now: Leadership) {
         coordinator?.stop()
         coordinator = null
@@ -209,7 +222,8 @@
             leader?.close()
             leader = address?.let { HttpCaller(it, loop, REPLICA_TIMEOUT) }
         }
-        if (now is Leadership.Leader) coordinate(now.since)
+        leaderAnswersUntil = ProcessClock.now() + LEADER_SILENCE
+        if (now is Leadership.Leader) coordinate(now.since) else report()
     }
 
     /** Reads the layout of experts, and starts to coordinate with it. */
@@ -222,10 +236,37 @@
                 loop.schedule({ coordinate(since) }, RETRY_MILLIS, TimeUnit.MILLISECONDS)
             } else {
                 coordinator = GroupCoordinator(loop, log, layout, since, ownRank = { rank }, prove = election::prove)
+                announceLeader(since)
+                report()
             }
         }
     }
 
+    /** Tells the agents of all ranks who leads now. Those that are missed find it in the store. */
+    private fun announceLeader(since: Revision, after: String? = null) {
+        store.get(StoreCalls.replicaPage(after)) { result ->
+            val body = result.successBody() ?: return@get
+            val page = decodeReplicaPage(body).getOrElse {
+                log.log(LogEvent.RANK_UNREADABLE, "detail" to it.detail)
+                return@get
+            }
+            val said = rankJson.encodeToString(
+                LeaderAnnouncement.serializer(),
+                LeaderAnnouncement(leader = own.toString(), term = since.value),
+            )
+            for (r in page.replicas) {
+                val agent = Endpoint(r.endpoint.host, own.port)
+                if (r.service == service && agent != own) announceTo(agent, said)
+            }
+            page.next?.let { announceLeader(since, after = it) }
+        }
+    }
+
+    private fun announceTo(agent: Endpoint, said: String) {
+        val caller = HttpCaller(agent, loop, REPLICA_TIMEOUT)
+        caller.post(RankPaths.LEADER, said) { caller.close() }
+    }
+
     private fun expertLayout(body: String, of: ServiceId): ExpertLayout? {
         val stored = decodeStoredText(body).onFailure {
             log.log(LogEvent.CONFIGURATION_UNREADABLE, "detail" to it.detail)
@@ -243,6 +284,9 @@
         val REPLICA_TIMEOUT: Duration = 200.milliseconds
         val STORE_TIMEOUT: Duration = 1_000.milliseconds
 
+        /** A leader that leaves statuses unanswered for so long may have lost its lease. */
+        val LEADER_SILENCE: Duration = 1_200.milliseconds
+
         /** Until the coordinator has told how often it wants to hear. */
         const val FIRST_REPORT_MILLIS = 500L
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankStatus.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankStatus.kt
@@ -42,6 +42,10 @@
 @Serializable
 internal data class RankReading(val readAtMicros: Long, val report: String)
 
+/** Says that the agent at [leader] coordinates the group since [term]. */
+@Serializable
+internal data class LeaderAnnouncement(val leader: String, val term: Long)
+
 /** An order of the coordinator of [term], with the [body] for the replica. */
 @Serializable
 internal data class RankOrder(val term: Long, val body: String)
@@ -61,5 +65,6 @@
 internal object RankPaths {
     const val STATUS = "/rank/status"
     const val ORDER = "/rank/order"
+    const val LEADER = "/rank/leader"
     const val HELD_EXPERTS = "/rank/experts"
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
@@ -3,11 +3,14 @@
  *
  * The holder renews its lease and stops leading on its own clock before the lease can end elsewhere. That alone does
  * not exclude two leaders, since a process can be suspended at any point; what a leader does must be safe beside a
- * successor, and [prove] tells whether there is one. Runs on the control thread.
+ * successor, and [prove] tells whether there is one. A process that finds its own address as the holder was restarted
+ * and takes the key over at once, under a new revision, instead of waiting for the end of its former lease. Followers
+ * leave the store alone while the leader answers them. Runs on the control thread.
  */
 package org.jujubelead.gateway.store
 
 import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
 import io.netty.channel.EventLoop
 import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.replica.Endpoint
@@ -19,7 +22,6 @@
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.LeaseId
 import org.jujubelead.platform.wire.StoreCalls
-import org.jujubelead.platform.wire.StoredText
 import org.jujubelead.platform.wire.decodeLease
 import org.jujubelead.platform.wire.decodeStoredText
 import org.jujubelead.platform.wire.decodeWritten
@@ -30,20 +32,26 @@
 
 /** Who leads. */
 public sealed interface Leadership {
+    /** Revision at which the leader took over; 0 when there is none. */
+    public val since: Revision
+
     /** Nobody is known to lead. */
-    public data object Unknown : Leadership
+    public data object Unknown : Leadership {
+        override val since: Revision get() = Revision(0)
+    }
 
     /** Another process leads since store revision [since]. */
-    public data class Follower(val leader: Endpoint, val since: Revision) : Leadership
+    public data class Follower(val leader: Endpoint, override val since: Revision) : Leadership
 
     /** This process leads since store revision [since]. */
-    public data class Leader(val since: Revision) : Leadership
+    public data class Leader(override val since: Revision) : Leadership
 }
 
 /**
  * @param key in the store.
  * @param own address by which others reach this process.
  * @param turn position in which processes try to take over, to keep them from trying all at once.
+ * @param leaderAnswers true while the leader that is followed answers this process.
  */
 public class LeaderElection(
     private val store: HttpCaller,
@@ -52,11 +60,15 @@
     private val key: String,
     private val own: Endpoint,
     private val turn: () -> Int,
+    private val leaderAnswers: () -> Boolean,
     private val onChange: (Leadership) -> Unit,
 ) {
     private var lease: LeaseId? = null
     private var renewedAt: ClockReading? = null
 
+    /** The newest revision at which a process is known to have become the leader. */
+    private var newest = Revision(0)
+
     public var leadership: Leadership = Leadership.Unknown
         private set
 
@@ -72,10 +84,16 @@
         }
     }
 
+    /** Takes in that [leader] says that it leads since [since]. */
+    public fun announced(leader: Endpoint, since: Revision) {
+        if (since > newest && leader != own) become(Leadership.Follower(leader, since))
+    }
+
     private fun step() {
         when (leadership) {
             is Leadership.Leader -> renew()
-            else -> look()
+            is Leadership.Follower -> if (leaderAnswers()) again(LOOK_INTERVAL) else look()
+            is Leadership.Unknown -> look()
         }
     }
 
@@ -83,32 +101,37 @@
         store.get(StoreCalls.possiblyStale(key)) { result ->
             val answer = result.get()
             when (answer?.status) {
-                STATUS_OK -> {
-                    decodeStoredText(answer.body).get()?.let(::follow)
-                    again(LOOK_INTERVAL)
-                }
-
-                STATUS_NOT_FOUND -> loop.schedule(::contend, turn() * TURN_MILLIS, TimeUnit.MILLISECONDS)
-
+                STATUS_OK -> found(answer.body)
+                STATUS_NOT_FOUND -> loop.schedule(::contendIfVacant, turn() * TURN_MILLIS, TimeUnit.MILLISECONDS)
                 else -> again(LOOK_INTERVAL)
             }
         }
     }
 
-    private fun follow(stored: StoredText) {
-        val leader = Endpoint.parse(stored.text) ?: return
-        val known = (leadership as? Leadership.Follower)?.since
+    private fun found(body: String) {
+        val stored = decodeStoredText(body).getOrElse {
+            log.log(LogEvent.LEADER_UNREADABLE, "key" to key, "detail" to it.detail)
+            return again(LOOK_INTERVAL)
+        }
+        val leader = Endpoint.parse(stored.text)
+        if (leader == own) return contend(replacing = stored.revision)
         // A stale read may name an earlier leader.
-        if (known != null && stored.revision < known) return
-        become(Leadership.Follower(leader, stored.revision))
+        if (leader != null && stored.revision >= newest) become(Leadership.Follower(leader, stored.revision))
+        again(LOOK_INTERVAL)
+    }
+
+    private fun contendIfVacant() {
+        val followed = leadership is Leadership.Follower && leaderAnswers()
+        if (followed) again(LOOK_INTERVAL) else contend(replacing = null)
     }
 
-    private fun contend() {
+    /** Tries to become the leader: where nobody leads, or in the place of this process's earlier life. */
+    private fun contend(replacing: Revision?) {
         val askedAt = ProcessClock.read()
         store.post(StoreCalls.LEASE_PATH, StoreCalls.lease(LEASE_TIME)) { result ->
             val granted = result.successBody()?.let { decodeLease(it).get() }
             if (granted == null) return@post again(LOOK_INTERVAL)
-            val write = StoreCalls.createUnderLease(key, own.toString(), granted)
+            val write = StoreCalls.replaceUnderLease(key, replacing, own.toString(), granted)
             store.post(StoreCalls.TRANSACTION_PATH, write) { written ->
                 val since = written.successBody()?.let { decodeWritten(it).get() }
                 if (since != null) {
@@ -139,6 +162,7 @@
 
     private fun become(next: Leadership) {
         if (next == leadership) return
+        newest = maxOf(newest, next.since)
         if (leadership is Leadership.Leader || next is Leadership.Leader) {
             log.log(LogEvent.LEADERSHIP_CHANGED, "key" to key, "before" to leadership, "now" to next)
         }
@@ -151,13 +175,13 @@
     }
 
     private companion object {
-        /** A group without a coordinator keeps its map; three seconds without one are no harm. */
-        val LEASE_TIME: Duration = 3.seconds
+        /** Demand shifts every few seconds, so a group is without a coordinator for no longer than that. */
+        val LEASE_TIME: Duration = 2.seconds
 
         /** Part of the lease after which the holder no longer trusts it. */
         const val TRUSTED_LEASE_SHARE = 0.8
-        val RENEW_INTERVAL: Duration = 800.milliseconds
-        val LOOK_INTERVAL: Duration = 1_200.milliseconds
+        val RENEW_INTERVAL: Duration = 500.milliseconds
+        val LOOK_INTERVAL: Duration = 600.milliseconds
         val FIRST_WAIT: Duration = 300.milliseconds
         const val TURN_MILLIS = 60L
         const val STATUS_OK = 200
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
@@ -33,6 +33,8 @@
     MAP_ORDER_FAILED("JJ-6305"),
     RANK_UNREADABLE("JJ-6306"),
     ORDER_REFUSED("JJ-6307"),
+    GROUP_LOAD("JJ-6308"),
+    LEADER_UNREADABLE("JJ-6309"),
     DEFECT("JJ-6901"),
     LINES_DROPPED("JJ-6902"),
 }
