Start from an archive of loaded classes, and let the rank decide who is elected first

Ruled out: a stale read of the key; with a current read the result was the same.

Change: the build runs both programs on loopback for a moment and archives the classes that they load. An agent reads its rank before it looks at the key, and after a start the key is read without staleness.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/Main.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/Main.kt
@@ -22,6 +22,10 @@
 private const val EXIT_USAGE = 2
 
 public fun main(args: Array<String>) {
+    if (args.firstOrNull() == "rehearse") {
+        rehearse()
+        exitProcess(0)
+    }
     val path =
         args.getOrNull(1) ?: System.getenv(SETTINGS_PATH_VARIABLE)
             ?: usage("$SETTINGS_PATH_VARIABLE names no settings file")
@@ -68,6 +72,6 @@
 
 private fun usage(message: String): Nothing {
     System.err.println("jujubelead: $message")
-    System.err.println("usage: jujubelead gateway|rank-agent [SETTINGS]")
+    System.err.println("usage: jujubelead gateway|rank-agent [SETTINGS]\n       jujubelead rehearse")
     exitProcess(EXIT_USAGE)
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/Rehearsal.kt
@@ -0,0 +1,63 @@
+/**
+ * Starts both programs on loopback for a moment, so that the build can archive the classes that they load.
+ *
+ * The archive shortens each start: a gateway or an agent that was killed serves again sooner. Nothing answers in the
+ * place of the store and the replica; a wrong address of either is all that the programs see.
+ */
+package org.jujubelead.gateway
+
+import com.github.michaelbull.result.get
+import org.jujubelead.core.expertmap.MapPlanner
+import org.jujubelead.core.ids.Revision
+import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.core.route.ExpertLayout
+import org.jujubelead.core.time.Timestamp
+import org.jujubelead.gateway.rank.RankAgentProcess
+import org.jujubelead.gateway.settings.ProcessDescription
+import org.jujubelead.gateway.settings.readProcessDescription
+import org.jujubelead.gateway.telemetry.EventLog
+import org.jujubelead.platform.wire.decodeConfiguration
+import org.jujubelead.platform.wire.decodeReplicaPage
+import java.net.HttpURLConnection
+import java.net.ServerSocket
+import java.net.URI
+import kotlin.concurrent.thread
+
+private const val REHEARSAL_MILLIS = 1_500L
+private const val REQUEST_MILLIS = 500
+
+internal fun rehearse() {
+    val log = EventLog().start()
+    val gateway = rehearsalDescription()
+    thread(isDaemon = true) { GatewayProcess(gateway, log).run() }
+    thread(isDaemon = true) { RankAgentProcess(rehearsalDescription(), log).run() }
+    Thread.sleep(REHEARSAL_MILLIS)
+    decodeReplicaPage("""{"items":[],"hasMore":false,"storeRevision":1}""").get()
+    decodeConfiguration("""{"version":1,"routes":[],"services":[]}""", Revision(1)).get()
+    val layout = ExpertLayout(sets = 1, experts = 2, placesPerRank = 2, sparePerRank = 1, expertShare = 1.0)
+    MapPlanner(layout).observed(firstSet = 0, counts = listOf(1, 2), now = Timestamp.ZERO)
+    val callers = checkNotNull(gateway.callers) { "the rehearsed gateway has an address for callers" }
+    val request = URI("http://$callers/rehearsal").toURL().openConnection() as HttpURLConnection
+    request.connectTimeout = REQUEST_MILLIS
+    request.readTimeout = REQUEST_MILLIS
+    println("rehearsed: status ${request.responseCode}")
+}
+
+private fun rehearsalDescription(): ProcessDescription {
+    val address = { Endpoint("127.0.0.1", ServerSocket(0).use { it.localPort }) }
+    val port = address().port
+    val text = """
+        |instance: rehearsal
+        |machine: 127.0.0.1
+        |zone: none
+        |callers: "${address()}"
+        |readiness: "${address()}"
+        |replica: "${address()}"
+        |service: none
+        |internalPorts: [$port, $port]
+        |store: "${address()}"
+        |bounds: {strictRevocation: true, revocationMillis: 5000, retryRatio: 0.2, retryWindowSeconds: 10,
+        |  retrySlack: 10, stopGraceSeconds: 1, configurationMillis: 2000, drainMillis: 2000}
+    """.trimMargin()
+    return checkNotNull(readProcessDescription(text).get()) { "the settings of the rehearsal are valid" }
+}
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -327,7 +327,8 @@
             "attempts" to attempts,
             "millis" to (ProcessClock.now() - request.arrivedAt).inWholeMilliseconds,
             "configuration" to traffic.state.configuration?.version,
-            "configurationAgeMillis" to traffic.state.age(ProcessClock.read()).inWholeMilliseconds,
+            "configurationAgeMillis" to
+                traffic.state.age(ProcessClock.read()).takeIf { it.isFinite() }?.inWholeMilliseconds,
             "waiting" to if (::route.isInitialized) traffic.queue(service).waitingCount else null,
         )
     }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -10,6 +10,7 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
 import io.netty.channel.nio.NioEventLoopGroup
 import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.ids.ServiceId
@@ -54,11 +55,13 @@
         log = log,
         key = "rank-groups/${service.value}",
         own = own,
-        turn = { rank },
+        turn = { rank ?: own.hashCode().mod(TURNS_WITHOUT_RANK) },
         leaderAnswers = { ProcessClock.now() < leaderAnswersUntil },
         onChange = ::leadershipChanged,
     )
-    private var rank = 0
+
+    /** Null until the replica belongs to a group. */
+    private var rank: Int? = null
 
     /** Highest term that this agent has followed or obeyed. */
     private var term = 0L
@@ -90,7 +93,13 @@
                 ),
             )
         }
-        loop.execute { election.start() }
+        // The rank decides whose turn it is, so that the agents of a restarted deployment do not all try at once.
+        loop.execute {
+            read { reading ->
+                if (reading != null) observeOwn(reading)
+                election.start()
+            }
+        }
         loop.every(TICK_MILLIS, "rank status", ::tick)
         log.log(LogEvent.STARTED, "service" to service, "replica" to replicaAddress, "store" to description.store)
         stopped.await()
@@ -118,7 +127,7 @@
         val following = term
         read { reading ->
             if (reading == null) return@read
-            decodeRankReport(reading.report, ProcessClock.now()).get()?.let { rank = it.observation.rank }
+            observeOwn(reading)
             replica.get(RankCalls.CHOICES_PATH) { counted ->
                 val counts = counted.successBody()?.let { decodeChoices(it).get() }
                 val (firstSet, choices) = sample(newChoices(counts.orEmpty()))
@@ -142,6 +151,12 @@
         }
     }
 
+    private fun observeOwn(reading: RankReading) {
+        decodeRankReport(reading.report, ProcessClock.now())
+            .onSuccess { rank = it.observation.rank }
+            .onFailure { log.log(LogEvent.RANK_UNREADABLE, "replica" to replicaAddress, "detail" to it.detail) }
+    }
+
     /**
      * The choices of as many whole sets as fit into a status. Ranks begin with different sets and take turns, so that
      * all sets are sampled at any time.
@@ -150,7 +165,7 @@
         if (reply.sets == 0 || choices.isEmpty()) return 0 to emptyList()
         val perSet = choices.size / reply.sets
         val whole = (MOST_CHOICES / perSet).coerceIn(1, reply.sets)
-        val firstSet = (rank + turn++) * whole % reply.sets
+        val firstSet = ((rank ?: 0) + turn++) * whole % reply.sets
         val end = minOf(firstSet + whole, reply.sets)
         return firstSet to choices.subList(firstSet * perSet, end * perSet)
     }
@@ -235,7 +250,7 @@
             if (layout == null) {
                 loop.schedule({ coordinate(since) }, RETRY_MILLIS, TimeUnit.MILLISECONDS)
             } else {
-                coordinator = GroupCoordinator(loop, log, layout, since, ownRank = { rank }, prove = election::prove)
+                coordinator = GroupCoordinator(loop, log, layout, since, ownRank = { rank ?: 0 }, prove = election::prove)
                 announceLeader(since)
                 report()
             }
@@ -284,6 +299,9 @@
         val REPLICA_TIMEOUT: Duration = 200.milliseconds
         val STORE_TIMEOUT: Duration = 1_000.milliseconds
 
+        /** Turns by address among agents that do not know their ranks yet. */
+        const val TURNS_WITHOUT_RANK = 32
+
         /** A leader that leaves statuses unanswered for so long may have lost its lease. */
         val LEADER_SILENCE: Duration = 1_200.milliseconds
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
@@ -98,7 +98,9 @@
     }
 
     private fun look() {
-        store.get(StoreCalls.possiblyStale(key)) { result ->
+        // Just after a start or a lost lease a stale read shows what was before, and delays the election.
+        val path = if (leadership is Leadership.Unknown) StoreCalls.current(key) else StoreCalls.possiblyStale(key)
+        store.get(path) { result ->
             val answer = result.get()
             when (answer?.status) {
                 STATUS_OK -> found(answer.body)
@@ -138,6 +140,14 @@
                     lease = granted
                     renewedAt = askedAt
                     become(Leadership.Leader(since))
+                } else {
+                    log.log(
+                        LogEvent.ELECTION_LOST,
+                        "key" to key,
+                        "replacing" to replacing?.value,
+                        "status" to written.get()?.status,
+                        "millis" to ProcessClock.read().since(askedAt).inWholeMilliseconds,
+                    )
                 }
                 again(if (since != null) RENEW_INTERVAL else LOOK_INTERVAL)
             }
@@ -182,7 +192,9 @@
         const val TRUSTED_LEASE_SHARE = 0.8
         val RENEW_INTERVAL: Duration = 500.milliseconds
         val LOOK_INTERVAL: Duration = 600.milliseconds
-        val FIRST_WAIT: Duration = 300.milliseconds
+        val FIRST_WAIT: Duration = 50.milliseconds
+
+        /** A few times the call that takes the key and the announcement after it, on a busy small instance. */
         const val TURN_MILLIS = 60L
         const val STATUS_OK = 200
         const val STATUS_NOT_FOUND = 404
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
@@ -35,6 +35,7 @@
     ORDER_REFUSED("JJ-6307"),
     GROUP_LOAD("JJ-6308"),
     LEADER_UNREADABLE("JJ-6309"),
+    ELECTION_LOST("JJ-6310"),
     DEFECT("JJ-6901"),
     LINES_DROPPED("JJ-6902"),
 }
