Keep requests from slow ranks of a group

Change: the coordinator tells all gateways which ranks are slow, as datagrams of some bytes that are sent only while there are any. A queue gives a slow rank nothing while other ranks are sound.

--- a/core/src/main/kotlin/org/jujubelead/core/dispatch/ReplicaLoad.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/dispatch/ReplicaLoad.kt
@@ -39,6 +39,13 @@
     public var elsewhere: Int = 0
         internal set
 
+    /** Time of the replica's work relative to a sound one, as last reported; 1 when nothing is reported. */
+    public var pace: Double = SOUND_PACE
+        internal set
+
+    /** True for a rank that makes the passes of its whole group longer with each request it works on. */
+    internal val slow: Boolean get() = pace >= SLOW_PACE
+
     private var failures = 0
     private var avoidedUntil: Timestamp? = null
 
@@ -67,6 +74,11 @@
     }
 
     private companion object {
+        const val SOUND_PACE = 1.0
+
+        /** Ranks differ by some hundredths without being ill; from a quarter on the others carry its requests for less. */
+        const val SLOW_PACE = 1.25
+
         /** Some passes of an engine: the time in which a place becomes free. */
         val FULL_PAUSE: Duration = 100.milliseconds
 
--- a/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
@@ -5,8 +5,9 @@
  * and a refusal is still true. Waiting requests are served by whether they can still be on time, then by priority, then
  * by the time by which they must start. The load this answers is a service near or over its capacity: requests that
  * can no longer be on time do not hold up those that can, and a request that would not start before its deadline is
- * refused when it arrives instead of waiting in vain. While all replicas fail together, as the ranks of a broken group
- * do, only probes are placed. Mutable; owned by the traffic thread.
+ * refused when it arrives instead of waiting in vain. A slow rank of a group gets no requests while other ranks are
+ * sound: all ranks wait for it in every pass, and what it works on itself is the part that can be kept from it. While
+ * all replicas fail together, as the ranks of a broken group do, only probes are placed. Mutable; owned by the traffic thread.
  */
 package org.jujubelead.core.dispatch
 
@@ -81,6 +82,11 @@
         loads.values.forEach { it.elsewhere = count(it.replica.id) }
     }
 
+    /** Sets how slow each replica is; 1 for a sound one. */
+    public fun paces(pace: (Replica) -> Double) {
+        loads.values.forEach { it.pace = pace(it.replica) }
+    }
+
     /** Asks for a replica. A queued ticket comes back from [settle]. */
     public fun submit(ticket: Ticket, now: Timestamp): Placement {
         if (loads.keys.all {
@@ -143,7 +149,10 @@
         return Placement.Assigned(best.replica)
     }
 
-    private fun capacity(load: ReplicaLoad): Int = (load.replica.slots * placesPerSlot).toInt().coerceAtLeast(1)
+    private fun capacity(load: ReplicaLoad): Int =
+        if (load.slow && !allSlow) 0 else (load.replica.slots * placesPerSlot).toInt().coerceAtLeast(1)
+
+    private val allSlow: Boolean get() = loads.values.all { it.slow }
 
     private fun room(load: ReplicaLoad): Int = capacity(load) - load.inFlight - load.elsewhere
 
--- a/core/src/test/kotlin/org/jujubelead/core/dispatch/ServiceQueueTest.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/dispatch/ServiceQueueTest.kt
@@ -61,6 +61,25 @@
         expectThat(placed.count { it == "far" }).isEqualTo(2)
     }
 
+    /** Guards against a slow rank that makes every pass of its group longer with requests that others could carry. */
+    @Test
+    fun `a slow rank gets no requests while another one is sound`() {
+        queue.replicasChanged(listOf(replica("slow"), replica("sound")))
+        queue.paces { if (it.id == ReplicaId("slow")) 3.0 else 1.0 }
+        expectThat(List(2) { submit().replicaId() }).isEqualTo(listOf("sound", "sound"))
+        expectThat(submit()).isEqualTo(Placement.Queued)
+        queue.paces { 1.0 }
+        expectThat(queue.settle(start).map { it.placement.replicaId() }).isEqualTo(listOf("slow"))
+    }
+
+    /** Guards against a service that refuses everything because all of its ranks are slow. */
+    @Test
+    fun `ranks that are all slow serve what they can`() {
+        queue.replicasChanged(listOf(replica("a"), replica("b")))
+        queue.paces { 5.0 }
+        expectThat(List(4) { submit().replicaId() }.toSet()).isEqualTo(setOf("a", "b"))
+    }
+
     /** Guards against late requests that take the places of those that can still be on time. */
     @Test
     fun `on-time requests come first, then priority, then age`() {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
@@ -53,7 +53,7 @@
             network.next().execute(traffic::replicasChanged)
         }
         follower.start()
-        val exchange = LoadExchange(description.zone, traffic::loads, traffic::loadsElsewhere)
+        val exchange = LoadExchange(description.zone, traffic::loads, traffic::loadsElsewhere, traffic.groups)
         exchange.start(own, network)
         val self = Peer(own, description.zone)
         PeerDirectory(store, control.next(), description.instance, self) { peers ->
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Traffic.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Traffic.kt
@@ -18,6 +18,7 @@
 import org.jujubelead.core.route.CallerLimits
 import org.jujubelead.gateway.net.ConnectionPool
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.peers.GroupConditions
 import org.jujubelead.gateway.peers.LoadReport
 import org.jujubelead.gateway.settings.DeploymentBounds
 import org.jujubelead.gateway.store.ControlState
@@ -55,6 +56,12 @@
     private val queued = IdentityHashMap<Ticket, Exchange>()
     private var knownReplicas: List<Replica> = emptyList()
 
+    /** Which ranks are slow. */
+    val groups: GroupConditions = GroupConditions(log) {
+        queues.values.forEach(::applyPaces)
+        settleAll()
+    }
+
     val limits: CallerLimits get() = state.configuration?.limits ?: INITIAL_LIMITS
 
     /** Starts the periodic work. */
@@ -69,7 +76,10 @@
         if (replicas === knownReplicas) return
         knownReplicas = replicas
         val byService = replicas.groupBy { it.service }
-        (queues.keys + byService.keys).toSet().forEach { queue(it).replicasChanged(byService[it].orEmpty()) }
+        (queues.keys + byService.keys).toSet().forEach {
+            queue(it).replicasChanged(byService[it].orEmpty())
+            applyPaces(queue(it))
+        }
         val ids = replicas.associateBy { it.id }
         pools.entries.removeIf { (id, pool) ->
             val stale = ids[id]?.endpoint != pool.endpoint
@@ -81,6 +91,8 @@
 
     fun queue(service: ServiceId): ServiceQueue = queues.getOrPut(service) { ServiceQueue(ownZone = zone) }
 
+    private fun applyPaces(queue: ServiceQueue) = queue.paces { groups.pace(it.endpoint) }
+
     fun pool(replica: Replica): ConnectionPool =
         pools.getOrPut(replica.id) { ConnectionPool(replica.endpoint, loop, CONNECT_TIMEOUT) }
 
--- /dev/null
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/GatewayList.kt
@@ -0,0 +1,66 @@
+/**
+ * Lists the gateways that are registered in the store, at the price of a stale read: one that is known late, or for too
+ * long, costs some accuracy of load figures and nothing else. Runs on the control thread.
+ */
+package org.jujubelead.gateway.peers
+
+import com.github.michaelbull.result.get
+import io.netty.channel.EventLoop
+import org.jujubelead.core.ids.ZoneId
+import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.gateway.net.HttpCaller
+import org.jujubelead.gateway.net.successBody
+import org.jujubelead.platform.wire.StoreCalls
+import org.jujubelead.platform.wire.decodeTexts
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A gateway. */
+public data class Peer(val endpoint: Endpoint, val zone: ZoneId)
+
+/** @param onChange gets all gateways. */
+public class GatewayList(
+    private val store: HttpCaller,
+    private val loop: EventLoop,
+    private val onChange: (List<Peer>) -> Unit,
+) {
+    private var known: List<Peer> = emptyList()
+    private var stopped = false
+
+    /** Lists for the first time after [firstWait], and then again and again. */
+    public fun start(firstWait: Duration = FIRST_LIST) {
+        loop.schedule(::list, firstWait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    public fun stop() {
+        stopped = true
+    }
+
+    private fun list() {
+        if (stopped) return
+        store.get(StoreCalls.possiblyStaleRange(PREFIX)) { result ->
+            val peers = result.successBody()?.let { decodeTexts(it).get() }?.mapNotNull(::peer)
+            if (peers != null && peers != known && !stopped) {
+                known = peers
+                onChange(peers)
+            }
+            start(if (known.isEmpty()) FIRST_LIST else LIST)
+        }
+    }
+
+    private fun peer(text: String): Peer? {
+        val zone = text.substringBefore(' ')
+        return Peer(Endpoint.parse(text.substringAfter(' ')) ?: return null, ZoneId(zone))
+    }
+
+    public companion object {
+        /** Keys of the gateways' entries. */
+        public const val PREFIX: String = "gateways/"
+
+        /** Gateways start at about the same time. */
+        private val FIRST_LIST: Duration = 1_500.milliseconds
+        private val LIST: Duration = 4.seconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/GroupConditions.kt
@@ -0,0 +1,44 @@
+/**
+ * The newest reports of groups, by service. Reports that are not repeated expire, since a coordinator can be lost while
+ * a rank recovers. Runs on the traffic thread.
+ */
+package org.jujubelead.gateway.peers
+
+import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.core.time.Timestamp
+import org.jujubelead.gateway.telemetry.EventLog
+import org.jujubelead.gateway.telemetry.LogEvent
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** @param onChange called when the paces of replicas have changed. */
+internal class GroupConditions(private val log: EventLog, private val onChange: () -> Unit) {
+    private class Received(val report: GroupReport, val at: Timestamp)
+
+    private val received = HashMap<Int, Received>()
+
+    /** Time of the work of [replica] relative to a sound one. */
+    fun pace(replica: Endpoint): Double {
+        val hash = GroupReport.hash(replica)
+        return received.values.firstNotNullOfOrNull { it.report.paces[hash] } ?: 1.0
+    }
+
+    fun take(report: GroupReport, now: Timestamp) {
+        val last = received[report.service]?.report
+        if (last != null && !report.newerThan(last)) return
+        received[report.service] = Received(report, now)
+        if (last?.paces.orEmpty() == report.paces) return
+        log.log(LogEvent.SLOW_RANKS_CHANGED, "count" to report.paces.size, "term" to report.term)
+        onChange()
+    }
+
+    fun expire(now: Timestamp) {
+        val slow = received.values.any { it.report.paces.isNotEmpty() }
+        if (received.values.removeIf { now - it.at > EXPIRY } && slow) onChange()
+    }
+
+    private companion object {
+        /** Some reports may be lost, and a new coordinator be elected, before a slow rank is taken as sound. */
+        val EXPIRY: Duration = 3.seconds
+    }
+}
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/LoadExchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/LoadExchange.kt
@@ -28,11 +28,13 @@
 /**
  * @param loads of this gateway, by hash of the replica.
  * @param onElsewhere gets the sum of the loads of all others, by hash of the replica.
+ * @param groups gets the reports of groups' coordinators, which come to the same port.
  */
 internal class LoadExchange(
     private val zone: ZoneId,
     private val loads: () -> Map<Int, Int>,
     private val onElsewhere: (Map<Int, Int>) -> Unit,
+    private val groups: GroupConditions,
 ) {
     private class Received(val report: LoadReport, val at: Timestamp)
 
@@ -50,7 +52,13 @@
         channel = Bootstrap().group(group).channel(NioDatagramChannel::class.java)
             .handler(object : SimpleChannelInboundHandler<DatagramPacket>() {
                 override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) {
-                    LoadReport.decode(packet.content())?.let(::received)
+                    val bytes = packet.content()
+                    val group = bytes.isReadable && bytes.getByte(bytes.readerIndex()).toInt() == GroupReport.FORMAT
+                    if (group) {
+                        GroupReport.decode(bytes)?.let { groups.take(it, ProcessClock.now()) }
+                    } else {
+                        LoadReport.decode(bytes)?.let(::received)
+                    }
                 }
 
                 override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
@@ -76,6 +84,7 @@
 
     private fun tick() {
         val now = ProcessClock.now()
+        groups.expire(now)
         if (received.values.removeIf { now - it.at > EXPIRY }) publish()
         val current = loads()
         val slow = ticks++ % SLOW_TICKS == 0
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/PeerDirectory.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/PeerDirectory.kt
@@ -1,8 +1,5 @@
 /**
- * Finds the other gateways of the deployment through the store.
- *
- * Each gateway keeps an entry under a lease, and lists the entries of all at the price of a stale read: a peer that is
- * known late, or for too long, costs some accuracy of the load figures and nothing else. Runs on the control thread.
+ * Registers this gateway in the store under a lease, and finds the others. Runs on the control thread.
  */
 package org.jujubelead.gateway.peers
 
@@ -16,15 +13,11 @@
 import org.jujubelead.platform.wire.LeaseId
 import org.jujubelead.platform.wire.StoreCalls
 import org.jujubelead.platform.wire.decodeLease
-import org.jujubelead.platform.wire.decodeTexts
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Another gateway, or this one. */
-public data class Peer(val endpoint: Endpoint, val zone: ZoneId)
-
 /** @param onChange gets the other gateways. */
 public class PeerDirectory(
     private val store: HttpCaller,
@@ -34,11 +27,11 @@
     private val onChange: (List<Peer>) -> Unit,
 ) {
     private var lease: LeaseId? = null
-    private var known: List<Peer> = emptyList()
+    private val list = GatewayList(store, loop) { all -> onChange(all.filter { it.endpoint != own.endpoint }) }
 
     public fun start() {
         loop.execute(::register)
-        loop.schedule(::list, FIRST_LIST.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        list.start()
     }
 
     private fun register() {
@@ -48,7 +41,7 @@
             val granted = result.successBody()?.let { decodeLease(it).get() }
             if (granted == null) return@post later(RETRY)
             val write = StoreCalls.writeUnderLease(
-                "$PREFIX${instance.value}",
+                "${GatewayList.PREFIX}${instance.value}",
                 "${own.zone.value} ${own.endpoint}",
                 granted,
             )
@@ -70,33 +63,10 @@
         loop.schedule(::register, wait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
-    private fun list() {
-        store.get(StoreCalls.possiblyStaleRange(PREFIX)) { result ->
-            val body = result.successBody()
-            val peers = body?.let { decodeTexts(it).get() }?.mapNotNull(::peer)?.filter { it.endpoint != own.endpoint }
-            if (peers != null && peers != known) {
-                known = peers
-                onChange(peers)
-            }
-            val wait = if (known.isEmpty()) FIRST_LIST else LIST
-            loop.schedule(::list, wait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-        }
-    }
-
-    private fun peer(text: String): Peer? {
-        val zone = text.substringBefore(' ')
-        return Peer(Endpoint.parse(text.substringAfter(' ')) ?: return null, ZoneId(zone))
-    }
-
     private companion object {
-        const val PREFIX = "gateways/"
         val LEASE_TIME: Duration = 8.seconds
         val RENEW: Duration = 2_500.milliseconds
         val RETRY: Duration = 1_000.milliseconds
-
-        /** Gateways start at about the same time. */
-        val FIRST_LIST: Duration = 1_500.milliseconds
-        val LIST: Duration = 4.seconds
         const val STATUS_OK = 200
         const val STATUS_NOT_FOUND = 404
     }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -32,6 +32,7 @@
  * are above those of its predecessors.
  * @param ownRank the rank beside this process.
  * @param prove tells whether this process still leads.
+ * @param reporter gets the ranks that are slow.
  */
 internal class GroupCoordinator(
     private val loop: EventLoop,
@@ -40,6 +41,7 @@
     private val since: Revision,
     ownRank: () -> Int,
     private val prove: ((Boolean) -> Unit) -> Unit,
+    private val reporter: GroupReporter,
     private val planInterval: Duration = PLAN_INTERVAL,
 ) {
     private val links = HashMap<Endpoint, RankLink>()
@@ -64,6 +66,7 @@
     init {
         loop.every(TICK_MILLIS, "map change", ::tick)
         loop.every(LOAD_LOG_MILLIS, "group load", ::logLoad)
+        loop.every(REPORT_MILLIS, "group report", ::reportPaces)
     }
 
     /** Takes in what an agent says. Only agents that refuse orders of earlier terms count. */
@@ -92,6 +95,7 @@
 
     private fun end() {
         ended = true
+        reporter.close()
         links.values.forEach { it.close() }
         links.clear()
     }
@@ -195,6 +199,13 @@
         evaluate()
     }
 
+    private fun reportPaces() {
+        if (ended || stopped) return
+        val slow = HashMap<Endpoint, Double>()
+        for ((replica, link) in links) link.observation?.pace?.let { if (it > 1) slow[replica] = it }
+        reporter.report(slow)
+    }
+
     private fun logLoad() {
         val now = ProcessClock.now()
         val view = view(now)
@@ -252,6 +263,9 @@
         const val TICK_MILLIS = 30L
         const val LOAD_LOG_MILLIS = 1_000L
 
+        /** A slow rank is known to the gateways within half a second. */
+        const val REPORT_MILLIS = 250L
+
         /** Changes that one leader makes at most. */
         const val VERSIONS_PER_REVISION = 10_000L
         const val PERCENT = 100
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -250,7 +250,15 @@
             if (layout == null) {
                 loop.schedule({ coordinate(since) }, RETRY_MILLIS, TimeUnit.MILLISECONDS)
             } else {
-                coordinator = GroupCoordinator(loop, log, layout, since, ownRank = { rank ?: 0 }, prove = election::prove)
+                coordinator = GroupCoordinator(
+                    loop = loop,
+                    log = log,
+                    layout = layout,
+                    since = since,
+                    ownRank = { rank ?: 0 },
+                    prove = election::prove,
+                    reporter = GroupReporter(own.host, service, since.value, store, loop),
+                )
                 announceLeader(since)
                 report()
             }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
@@ -19,6 +19,7 @@
     STORE_REGAINED("JJ-6106"),
     READINESS_CHANGED("JJ-6107"),
     PEERS_CHANGED("JJ-6108"),
+    SLOW_RANKS_CHANGED("JJ-6109"),
     REQUEST_ANSWERED("JJ-6201", essential = false),
     REQUEST_REFUSED("JJ-6202"),
     REQUEST_FAILED("JJ-6203"),
