Send only the changes of an expert map, and move streams away from slow ranks

Change: an order names the changes from the map in use, which agents keep; one that does not know it asks for the whole map. 16 orders are under way at once, 63 moves a set instead of 36, and the switch is 3 passes ahead instead of 4. A resumable stream on a rank of twice the time of a sound one goes on at a sound rank that has room at once, within the budget of repeats.

--- a/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
@@ -105,6 +105,16 @@
         return Placement.Queued
     }
 
+    /**
+     * True when a stream is better moved away from [replica]: its work is so slow that the whole group waits for it, and
+     * a sound replica outside [excluded] has a place at once.
+     */
+    public fun betterMoved(replica: ReplicaId, excluded: Set<ReplicaId>, now: Timestamp): Boolean {
+        val pace = loads[replica]?.pace ?: return false
+        if (pace < PACE_TO_MOVE || waiting.isNotEmpty()) return false
+        return loads.values.any { !it.slow && it.replica.id !in excluded && room(it) > 0 && !it.avoided(now) }
+    }
+
     /** Gives the place of an ended attempt back. [held] is how long the attempt took. */
     public fun ended(replica: ReplicaId, outcome: AttemptOutcome, held: Duration, now: Timestamp) {
         loads[replica]?.ended(outcome, now)
@@ -173,6 +183,9 @@
         fun serviceOrder(now: Timestamp): Comparator<Ticket> =
             compareBy({ it.onTimeUntil < now }, { it.priority }, { it.onTimeUntil.micros })
 
+        /** A stream read again elsewhere costs its group a pass or two; a slow rank costs more in every pass from here on. */
+        const val PACE_TO_MOVE = 2.0
+
         /** Used until attempts have ended; about the time of a short model answer. */
         val INITIAL_HOLD: Duration = 1.seconds
 
--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/MapChange.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/MapChange.kt
@@ -57,6 +57,9 @@
     private var epoch: Long? = null
     private var lastVersion = versionFloor
 
+    /** [current] with its version. */
+    private var base: VersionedMap? = null
+
     /** True when a new change can begin. */
     public val idle: Boolean get() = phase == ChangePhase.Idle
 
@@ -108,6 +111,8 @@
             current = null
         }
         epoch = seen
+        val inUse = view.values.first().map
+        if (base?.map !== current || base?.version != inUse) base = current?.let { VersionedMap(inUse, it) }
         for (o in view.values) {
             val versions = listOfNotNull(o.map, o.prepared, o.armed?.version)
             lastVersion = maxOf(lastVersion, versions.max())
@@ -157,7 +162,7 @@
         }
         val missing = view.values.filter { it.prepared != p.version }
         if (missing.isEmpty()) phase = ChangePhase.Proving(p.version, p.map)
-        return missing.associate { it.rank to MapOrder.Prepare(p.version, p.map) }
+        return missing.associate { it.rank to MapOrder.Prepare(p.version, p.map, base) }
     }
 
     private fun hold(p: ChangePhase.Holding, view: Map<Int, RankObservation>): Map<Int, MapOrder> {
@@ -198,7 +203,7 @@
 
     public companion object {
         /** Holding and arming take about one pass; a pass that begins earlier costs another proof of leadership. */
-        public const val DEFAULT_MARGIN_STEPS: Long = 4
+        public const val DEFAULT_MARGIN_STEPS: Long = 3
 
         /** Loading some experts takes well under a second; orders may have to be repeated. */
         private val PREPARE_TIMEOUT: Duration = 4.seconds
--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/MapOrder.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/MapOrder.kt
@@ -8,10 +8,13 @@
 /** Where the experts of each set of layers are. */
 public typealias GroupMap = List<ExpertPlacement>
 
+/** A map and its version. */
+public class VersionedMap(public val version: MapVersion, public val map: GroupMap)
+
 /** One order. An order that is not answered can be carried out later. */
 public sealed interface MapOrder {
-    /** Loads the experts of [map] that the rank does not hold. */
-    public data class Prepare(val version: MapVersion, val map: GroupMap) : MapOrder {
+    /** Loads the experts of [map] that the rank does not hold. [base] is the map in use, when it is known. */
+    public data class Prepare(val version: MapVersion, val map: GroupMap, val base: VersionedMap? = null) : MapOrder {
         override fun toString(): String = "Prepare($version)"
     }
 
--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/MapPlanner.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/MapPlanner.kt
@@ -135,7 +135,7 @@
         private const val LEAST_GAIN_PER_MOVE = 0.01
 
         /** Expert copies that one change loads in a set; the rest follows in the next change. */
-        private const val MOST_MOVES = 36
+        private const val MOST_MOVES = 63
 
         /** Ranks and experts that are considered for each move. */
         private const val CANDIDATES = 12
--- a/core/src/main/kotlin/org/jujubelead/core/retry/WindowedRetryBudget.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/retry/WindowedRetryBudget.kt
@@ -31,12 +31,17 @@
 
     /** Takes one repeat; false when the window has none left. */
     public fun tryTake(now: Timestamp): Boolean {
-        expire(now)
-        if (repeats.size + 1 > ratio * requests.size + slack) return false
+        if (!available(now)) return false
         repeats.addLast(now)
         return true
     }
 
+    /** True when the window has a repeat left. */
+    public fun available(now: Timestamp): Boolean {
+        expire(now)
+        return repeats.size + 1 <= ratio * requests.size + slack
+    }
+
     private fun expire(now: Timestamp) {
         val start = now - window
         while (requests.isNotEmpty() && requests.first() < start) requests.removeFirst()
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
@@ -50,6 +50,12 @@
     /** It is proved that the replica did not run the request. [arrived] is false when it was not even sent. */
     class NotRun(override val outcome: AttemptOutcome, override val label: String, val arrived: Boolean) : AttemptEnd
 
+    /** The gateway ended it to go on with the stream at a replica that is not slow. */
+    data object Moved : AttemptEnd {
+        override val outcome: AttemptOutcome get() = AttemptOutcome.ABANDONED
+        override val label: String get() = "moved"
+    }
+
     /** The replica may have run the request. [replicaAnswer] is the failure that it answered with, if it did. */
     class Lost(override val label: String, val replicaAnswer: WholeAnswer? = null) : AttemptEnd {
         override val outcome: AttemptOutcome get() = AttemptOutcome.FAILED
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/CallerConnection.kt
@@ -173,6 +173,11 @@
         }
     }
 
+    /** Tells the request that is being handled, if any, that replicas have become slow or sound. */
+    fun pacesChanged() {
+        exchange?.leaveSlowReplica()
+    }
+
     /** Closes the connection if it is idle. */
     fun closeIfIdle() {
         if (idle) channel.close()
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -156,6 +156,17 @@
         )
     }
 
+    /** Goes on with a stream at another replica when its own one has become slow, if that is possible at once. */
+    fun leaveSlowReplica() {
+        val a = attempt ?: return
+        val now = ProcessClock.now()
+        val stream = route.kind is RequestKind.Stream && route.kind.repeatable && streamStarted
+        if (over || !stream || !mayRepeat() || !traffic.budget(service).available(now)) return
+        if (!traffic.queue(service).betterMoved(a.replica.id, tried, now)) return
+        a.cancel()
+        attemptEnded(a, AttemptEnd.Moved)
+    }
+
     private fun mayRepeat(): Boolean = attempts < route.mostAttempts && deadline - ProcessClock.now() > SHORTEST_ATTEMPT
 
     /** Called once by each attempt. */
@@ -182,6 +193,11 @@
         when (end) {
             is AttemptEnd.Answered -> answered(a, end)
 
+            is AttemptEnd.Moved -> {
+                mayHaveRun = true
+                if (!tryAgain(arrived = true)) giveUpLost(end.label)
+            }
+
             is AttemptEnd.NotRun -> if (!tryAgain(arrived = end.arrived)) notPlaced(FULL_PAUSE, end.label)
 
             is AttemptEnd.Lost -> {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Traffic.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Traffic.kt
@@ -60,6 +60,7 @@
     val groups: GroupConditions = GroupConditions(log) {
         queues.values.forEach(::applyPaces)
         settleAll()
+        connections.toList().forEach { it.pacesChanged() }
     }
 
     val limits: CallerLimits get() = state.configuration?.limits ?: INITIAL_LIMITS
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/CompactTexts.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/CompactTexts.kt
@@ -1,43 +1,101 @@
 /**
- * Compact forms of the large parts of messages between agents: expert maps and counts of choices.
+ * Compact forms of the large parts of messages between agents: expert maps, their changes, and counts of choices.
  *
  * A coordinator sends each map to all ranks and gets counts from all of them over the link of a small instance. As JSON
  * numbers both took most of that link in a group of 63 ranks, and a change of the map took a second for its way alone.
+ * Numbers are written with seven bits a byte, as most ranks and experts have one or two such bytes.
  */
 package org.jujubelead.gateway.rank
 
 import org.jujubelead.core.expertmap.GroupMap
 import org.jujubelead.core.placement.ExpertPlacement
 import java.io.ByteArrayOutputStream
-import java.nio.ByteBuffer
 import java.util.Base64
 
 private const val MOST_BYTE = 0xff
+private const val LOW_BITS = 0x7f
+private const val MORE_FOLLOWS = 0x80
+private const val BITS = 7
 
-/** A map as text: for each set and rank the number of experts, and the experts with two bytes each. */
-internal fun encodeMap(map: GroupMap): String {
-    val out = ByteArrayOutputStream()
-    fun short(value: Int) {
-        out.write(value ushr Byte.SIZE_BITS)
-        out.write(value)
+private class NumberWriter {
+    private val out = ByteArrayOutputStream()
+
+    fun number(value: Int) {
+        var rest = value
+        while (rest > LOW_BITS) {
+            out.write((rest and LOW_BITS) or MORE_FOLLOWS)
+            rest = rest ushr BITS
+        }
+        out.write(rest)
     }
-    short(map.size)
-    for (set in map) {
-        short(set.ranks.size)
-        for (experts in set.ranks) {
-            short(experts.size)
-            experts.forEach(::short)
+
+    fun numbers(values: List<Int>) {
+        number(values.size)
+        values.forEach(::number)
+    }
+
+    fun text(): String = Base64.getEncoder().encodeToString(out.toByteArray())
+}
+
+private class NumberReader(text: String) {
+    private val bytes = Base64.getDecoder().decode(text)
+    private var next = 0
+
+    fun number(): Int {
+        var value = 0
+        var shift = 0
+        while (true) {
+            require(next < bytes.size) { "a number is cut off" }
+            val byte = bytes[next++].toInt()
+            value = value or ((byte and LOW_BITS) shl shift)
+            if (byte and MORE_FOLLOWS == 0) return value
+            shift += BITS
         }
     }
-    return Base64.getEncoder().encodeToString(out.toByteArray())
+
+    fun numbers(): List<Int> = List(number()) { number() }
 }
 
-/** Reads what [encodeMap] wrote. Throws [IllegalArgumentException] or a buffer exception on anything else. */
+/** A whole map as text. */
+internal fun encodeMap(map: GroupMap): String = NumberWriter().apply {
+    number(map.size)
+    for (set in map) {
+        number(set.ranks.size)
+        set.ranks.forEach(::numbers)
+    }
+}.text()
+
+/** Reads what [encodeMap] wrote; throws [IllegalArgumentException] on anything else. */
 internal fun decodeMap(text: String): GroupMap {
-    val bytes = ByteBuffer.wrap(Base64.getDecoder().decode(text))
-    val short = { bytes.short.toInt() and 0xffff }
-    return List(short()) {
-        ExpertPlacement(List(short()) { List(short()) { short() } })
+    val from = NumberReader(text)
+    return List(from.number()) { ExpertPlacement(List(from.number()) { from.numbers() }) }
+}
+
+/** What leads from [base] to [map], as text: for each set the ranks that change, with what they drop and load. */
+internal fun encodeChanges(base: GroupMap, map: GroupMap): String = NumberWriter().apply {
+    for ((before, after) in base zip map) {
+        val changed = after.ranks.indices.filter { before.ranks[it] != after.ranks[it] }
+        number(changed.size)
+        for (r in changed) {
+            number(r)
+            numbers(before.ranks[r] - after.ranks[r].toSet())
+            numbers(after.ranks[r] - before.ranks[r].toSet())
+        }
+    }
+}.text()
+
+/** The map to which the changes in [text] lead from [base]; throws [IllegalArgumentException] on other texts. */
+internal fun applyChanges(base: GroupMap, text: String): GroupMap {
+    val from = NumberReader(text)
+    return base.map { before ->
+        val ranks = before.ranks.toMutableList()
+        repeat(from.number()) {
+            val r = from.number()
+            require(r < ranks.size) { "no rank $r" }
+            val dropped = from.numbers().toSet()
+            ranks[r] = (ranks[r] - dropped + from.numbers()).sorted()
+        }
+        ExpertPlacement(ranks)
     }
 }
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -289,8 +289,8 @@
         /** Statuses are more frequent by this factor during the second of a change. */
         const val CHANGE_RATE = 4
 
-        /** Eight maps of the largest group are queued for 90 ms on the smallest link. */
-        const val MOST_MAPS_UNDER_WAY = 8
+        /** Changes of the largest group's map for sixteen ranks are queued for 40 ms on the smallest link. */
+        const val MOST_MAPS_UNDER_WAY = 16
 
         /** Twice a second, so that a shift of demand is answered within a second or two. */
         val PLAN_INTERVAL: Duration = 500.milliseconds
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -74,6 +74,7 @@
     private var ordersUnderWay = 0
     private var reportedAt = Timestamp.ZERO
     private var choicesDueAt = Timestamp.ZERO
+    private val knownMaps = KnownMaps()
     private var reply = StatusReply(sets = 0, interval = FIRST_REPORT_MILLIS, changeInterval = FIRST_REPORT_MILLIS)
     private var turn = 0
 
@@ -209,8 +210,8 @@
             )
             return answer(HttpAnswer(STATUS_REFUSED, "an earlier term\n"))
         }
-        val forReplica = order.body ?: order.prepare?.let { encodeOrder(it) }
-            ?: return answer(HttpAnswer(STATUS_INVALID, "an order without a body\n"))
+        val forReplica = order.body ?: order.prepare?.let { prepareBody(it) }
+            ?: return answer(HttpAnswer(STATUS_NOT_FOUND, "the base of the map is not known\n"))
         term = order.term
         ordersUnderWay++
         changingUntil = ProcessClock.now() + CHANGE_TIME
@@ -224,8 +225,8 @@
         }
     }
 
-    private fun encodeOrder(order: PrepareOrder): String =
-        encodeOrder(MapOrder.Prepare(MapVersion(order.version), decodeMap(order.map)), order.epoch)
+    private fun prepareBody(order: PrepareOrder): String? =
+        knownMaps.complete(order)?.let { encodeOrder(MapOrder.Prepare(MapVersion(order.version), it), order.epoch) }
 
     private fun heldExperts(answer: (HttpAnswer) -> Unit) {
         replica.get(RankCalls.HELD_EXPERTS_PATH) { answer(it.get() ?: HttpAnswer(STATUS_UNAVAILABLE, "")) }
@@ -353,6 +354,6 @@
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
         const val STATUS_REFUSED = 409
-        const val STATUS_INVALID = 400
+        const val STATUS_NOT_FOUND = 404
     }
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankLink.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankLink.kt
@@ -40,6 +40,9 @@
     private val caller = HttpCaller(agent, loop, ORDER_TIMEOUT)
     private val direct = HttpCaller(replica, loop, DIRECT_TIMEOUT)
     private var orderUnanswered = false
+
+    /** True when the agent has just said that it does not know the map that an order builds on. */
+    private var wantsWholeMap = false
     private var agentHeardAt = ProcessClock.now()
     private var reading = false
     private var readAgainAt = Timestamp.ZERO
@@ -110,9 +113,7 @@
 
     private fun sendByAgent(order: MapOrder, epoch: Long, sentAt: Timestamp, done: () -> Unit) {
         val forAgent = when (order) {
-            is MapOrder.Prepare -> {
-                RankOrder(term, body = null, prepare = PrepareOrder(order.version.value, epoch, encodeMap(order.map)))
-            }
+            is MapOrder.Prepare -> RankOrder(term, body = null, prepare = prepareOrder(order, epoch))
 
             is MapOrder.Arm, is MapOrder.Hold, is MapOrder.Release -> RankOrder(term, encodeOrder(order, epoch))
         }
@@ -120,6 +121,7 @@
         caller.post(RankPaths.ORDER, message) { result ->
             inFlight = false
             orderUnanswered = result.get() == null
+            wantsWholeMap = result.get()?.status == STATUS_NOT_FOUND
             val outcome = result.successBody()?.let { rankJson.decodeFromString(OrderResult.serializer(), it) }
             ended(order, outcome?.status, outcome?.observed?.report, sentAt)
             outcome?.observed?.let(::observed)
@@ -127,6 +129,13 @@
         }
     }
 
+    private fun prepareOrder(order: MapOrder.Prepare, epoch: Long): PrepareOrder {
+        val version = order.version.value
+        val base = order.base
+        if (base == null || wantsWholeMap) return PrepareOrder(version, epoch, map = encodeMap(order.map))
+        return PrepareOrder(version, epoch, base.version.value, changes = encodeChanges(base.map, order.map))
+    }
+
     private fun sendDirectly(order: MapOrder, body: String, sentAt: Timestamp, done: () -> Unit) {
         direct.post(RankCalls.ORDER_PATH, body) { result ->
             direct.get(RankCalls.REPORT_PATH) { read ->
@@ -177,6 +186,8 @@
     }
 
     private companion object {
+        const val STATUS_NOT_FOUND = 404
+
         /** An agent's own time limits for an order and the report after it, and the way there. */
         val ORDER_TIMEOUT: Duration = 450.milliseconds
         val DIRECT_TIMEOUT: Duration = 250.milliseconds
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankStatus.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankStatus.kt
@@ -57,9 +57,21 @@
 @Serializable
 internal data class RankOrder(val term: Long, val body: String?, val prepare: PrepareOrder? = null)
 
-/** An order to prepare a map, as [encodeMap] wrote it. */
+/**
+ * An order to prepare map [version].
+ *
+ * @property base version of the map that [changes] start from; an agent keeps the maps that it was last sent.
+ * @property changes as [encodeChanges] wrote them; null when [map] is given.
+ * @property map as [encodeMap] wrote it, for an agent that does not have the base.
+ */
 @Serializable
-internal data class PrepareOrder(val version: Long, val epoch: Long, val map: String)
+internal data class PrepareOrder(
+    val version: Long,
+    val epoch: Long,
+    val base: Long? = null,
+    val changes: String? = null,
+    val map: String? = null,
+)
 
 /**
  * Outcome of an order that an agent passed on.
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/ForwardingTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/ForwardingTest.kt
@@ -1,5 +1,9 @@
 package org.jujubelead.gateway.caller
 
+import org.jujubelead.core.ids.ServiceId
+import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.peers.GroupReport
 import org.jujubelead.platform.wire.Headers
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -14,6 +18,7 @@
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.seconds
