Forget expert demand from before a shift

Change: choices of the last half second are kept apart from earlier ones. Where they differ by a quarter of the choices, the earlier ones are forgotten before a plan.

--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/MapPlanner.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/MapPlanner.kt
@@ -12,10 +12,8 @@
 import org.jujubelead.core.placement.rankTimes
 import org.jujubelead.core.route.ExpertLayout
 import org.jujubelead.core.time.Timestamp
-import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.DurationUnit
 
 /**
  * A proposal.
@@ -25,7 +23,7 @@
 public class MapProposal(public val map: GroupMap, public val gain: Double)
 
 /**
- * @param memory time after which a choice of experts counts a third.
+ * @param memory time after which a choice of experts counts a third, unless demand shifts before.
  * @param leastGain part of the time of the experts' work that a change has to save.
  */
 public class MapPlanner(
@@ -33,8 +31,7 @@
     private val memory: Duration = DEFAULT_MEMORY,
     private val leastGain: Double = DEFAULT_LEAST_GAIN,
 ) {
-    private val loads = Array(layout.sets) { DoubleArray(layout.experts) }
-    private var updatedAt: Timestamp? = null
+    private val demand = ExpertDemand(layout.sets, layout.experts, memory)
     private var planningFrom: GroupMap? = null
     private val planned = ArrayList<ExpertPlacement>()
     private var before = 0.0
@@ -45,21 +42,18 @@
      * experts.
      */
     public fun observed(firstSet: Int, counts: List<Int>, now: Timestamp) {
-        decay(now)
-        for ((i, n) in counts.withIndex()) {
-            val set = firstSet + i / layout.experts
-            if (n <= 0 || set >= layout.sets) continue
-            loads[set][i % layout.experts] += n.toDouble()
-        }
+        demand.observed(firstSet, counts, now)
     }
 
+    /** Part of the recent choices that fall on other experts than before, averaged over the sets. */
+    public val drift: Double get() = (0 until layout.sets).sumOf { demand.drift(it) } / layout.sets
+
     /** Load of the most loaded rank of each set over the mean of its ranks, averaged over the sets; null without choices. */
     public fun imbalance(current: GroupMap): Double? {
         val even = List(current.first().ranks.size) { 1.0 }
         val factors = current.indices.mapNotNull { set ->
-            val sum = loads[set].sum()
-            if (sum <= 0) return@mapNotNull null
-            current[set].rankTimes(loads[set].map { it / sum }, even).max() * even.size
+            if (demand.choices(set) <= 0) return@mapNotNull null
+            current[set].rankTimes(demand.shares(set), even).max() * even.size
         }
         return if (factors.isEmpty()) null else factors.average()
     }
@@ -72,15 +66,14 @@
      */
     public fun planNextSet(current: GroupMap, paces: List<Double>): MapProposal? {
         if (current !== planningFrom) restart(current)
+        if (planned.isEmpty()) demand.forgetBeforeShift()
         val capacities = paces.map { 1.0 / it.coerceIn(1.0, MOST_PACE) }
         val placement = current[planned.size]
-        val sum = loads[planned.size].sum()
-        if (sum < LEAST_CHOICES) {
+        if (demand.choices(planned.size) < LEAST_CHOICES) {
             restart(current)
             return null
         }
-        // Sets are sampled unevenly; what counts is the part of its own set that an expert has.
-        val load = loads[planned.size].map { it / sum }
+        val load = demand.shares(planned.size)
         val next = improvePlacement(
             start = placement,
             loads = load,
@@ -116,14 +109,6 @@
         abandon()
     }
 
-    private fun decay(now: Timestamp) {
-        val last = updatedAt
-        updatedAt = now
-        if (last == null || now <= last) return
-        val factor = exp(-(now - last).toDouble(DurationUnit.SECONDS) / memory.toDouble(DurationUnit.SECONDS))
-        loads.forEach { set -> for (e in set.indices) set[e] *= factor }
-    }
-
     public companion object {
         /** Demand shifts every few seconds; a shorter memory leaves too few choices to tell shares apart. */
         public val DEFAULT_MEMORY: Duration = 1_500.milliseconds
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/Rehearsal.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/Rehearsal.kt
@@ -33,7 +33,7 @@
     thread(isDaemon = true) { RankAgentProcess(rehearsalDescription(), log).run() }
     Thread.sleep(REHEARSAL_MILLIS)
     decodeReplicaPage("""{"items":[],"hasMore":false,"storeRevision":1}""").get()
-    decodeConfiguration("""{"version":1,"routes":[],"services":[]}""", Revision(1)).get()
+    decodeConfiguration("""{"version":1,"routes":[],"services":[],"limits":{}}""", Revision(1)).get()
     val layout = ExpertLayout(sets = 1, experts = 2, placesPerRank = 2, sparePerRank = 1, expertShare = 1.0)
     MapPlanner(layout).observed(firstSet = 0, counts = listOf(1, 2), now = Timestamp.ZERO)
     val callers = checkNotNull(gateway.callers) { "the rehearsed gateway has an address for callers" }
