Wait for the end of an outage with callers who would be lost, and take smaller drifts as shifts

Cause: while a zone is cut off its group is broken.

Change: a caller whose time left shows that it has come back waits in the queue while the outage lasts, for at most 0.45 of that time. Callers who can come back are refused at once as before. A test plays 40 callers a second against an outage of five seconds.

The drift of demand is 0.05 to 0.10 between shifts and 0.15 to 0.24 at a shift, so 0.25 forgot nothing; it is 0.14 now.

--- a/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
@@ -7,7 +7,9 @@
  * can no longer be on time do not hold up those that can, and a request that would not start before its deadline is
  * refused when it arrives instead of waiting in vain. A slow rank of a group gets no requests while other ranks are
  * sound: all ranks wait for it in every pass, and what it works on itself is the part that can be kept from it. While
- * all replicas fail together, as the ranks of a broken group do, only probes are placed. Mutable; owned by the traffic thread.
+ * all replicas fail together, as the ranks of a broken group do, only probes are placed; callers who can come back later
+ * are refused at once, and those who have come back already and would be lost wait for the end of the outage as long as
+ * an answer would still reach them. Mutable; owned by the traffic thread.
  */
 package org.jujubelead.core.dispatch
 
@@ -25,12 +27,14 @@
  * @property onTimeUntil latest start with which it can still be on time.
  * @property usefulUntil latest start with which the caller still gets a whole answer.
  * @property excluded replicas that it has been sent to already.
+ * @property lastChance true when the caller is not likely to come back after a refusal.
  */
 public class Ticket(
     public val priority: Int,
     public val onTimeUntil: Timestamp,
     public val usefulUntil: Timestamp,
     public val excluded: Set<ReplicaId> = emptySet(),
+    public val lastChance: Boolean = false,
 )
 
 /** What becomes of a ticket. */
@@ -95,7 +99,12 @@
         ) {
             return Placement.Refused(NO_REPLICA_PAUSE, RefusalReason.NO_REPLICA)
         }
-        if (!outage.mayPlace(now)) return Placement.Refused(LONGEST_PAUSE, RefusalReason.OUTAGE)
+        if (!outage.mayPlace(now)) {
+            val waits = ticket.lastChance && now < ticket.usefulUntil && waiting.size < places
+            if (!waits) return Placement.Refused(LONGEST_PAUSE, RefusalReason.OUTAGE)
+            waiting += ticket
+            return Placement.Queued
+        }
         if (waiting.none { serviceOrder(now).compare(it, ticket) <= 0 }) assign(ticket, now)?.let { return it }
         val wait = expectedWait(ticket, now)
         if (now + wait > ticket.usefulUntil) {
@@ -140,6 +149,7 @@
             val t = rest.next()
             val placement = when {
                 now > t.usefulUntil -> Placement.Refused(SHORTEST_PAUSE, RefusalReason.OVERLOADED)
+                !outage.mayPlace(now) && t.lastChance -> continue
                 !outage.mayPlace(now) -> Placement.Refused(LONGEST_PAUSE, RefusalReason.OUTAGE)
                 else -> assign(t, now) ?: continue
             }
@@ -171,11 +181,12 @@
         return if (load.replica.zone == ownZone) busy else busy + OTHER_ZONE_COST
     }
 
+    private val places: Int get() = loads.values.sumOf { (capacity(it) - it.elsewhere).coerceAtLeast(0) }
+
     private fun expectedWait(ticket: Ticket, now: Timestamp): Duration {
         val order = serviceOrder(now)
         val ahead = waiting.count { order.compare(it, ticket) <= 0 } + 1
-        val places = loads.values.sumOf { (capacity(it) - it.elsewhere).coerceAtLeast(0) }.coerceAtLeast(1)
-        return meanHold * (ahead.toDouble() / places)
+        return meanHold * (ahead.toDouble() / places.coerceAtLeast(1))
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/ExpertDemand.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/ExpertDemand.kt
@@ -89,8 +89,8 @@
         /** Two spans hold about one status of each rank of a large group. */
         val SPAN: Duration = 250.milliseconds
 
-        /** Topics of the requests of half a second move up to a sixth of the choices; a shift moves a third and more. */
-        const val SHIFT = 0.25
+        /** Topics of the requests of half a second move up to a tenth of the choices; a shift moves a sixth and more. */
+        const val SHIFT = 0.14
 
         /** With fewer recent choices in a set their shares are chance. */
         const val LEAST_RECENT = 4_000.0
--- a/core/src/test/kotlin/org/jujubelead/core/dispatch/ServiceQueueTest.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/dispatch/ServiceQueueTest.kt
@@ -174,6 +174,45 @@
         expectThat(checkNotNull(firstServed) - back).isLessThanOrEqualTo(200.milliseconds)
     }
 
+    /**
+     * The load: 40 callers a second, each of whom comes back once, to a group that is broken for five seconds. Guards
+     * against callers who are lost although the group is back while they would still take an answer.
+     */
+    @Test
+    fun `callers who have come back wait for the end of an outage, and no longer than an answer reaches them`() {
+        queue.replicasChanged(listOf(replica("a", slots = 50), replica("b", slots = 50)))
+        val waited = ArrayList<Duration>()
+        var served = 0
+        val since = HashMap<Ticket, Timestamp>()
+        var now = start
+        fun place(t: Ticket, p: Placement) {
+            val broken = now < start + 5.seconds
+            when (p) {
+                is Placement.Queued -> Unit
+
+                is Placement.Refused -> if (t.lastChance) waited += now - since.getValue(t)
+
+                is Placement.Assigned -> {
+                    if (!broken) served++
+                    if (!broken) queue.answering()
+                    val outcome = if (broken) AttemptOutcome.FULL else AttemptOutcome.ANSWERED
+                    queue.ended(p.replica.id, outcome, 10.milliseconds, now)
+                }
+            }
+        }
+        repeat(20) { queue.ended(ReplicaId("a"), AttemptOutcome.FULL, 10.milliseconds, now) }
+        repeat(240) {
+            now += 25.milliseconds
+            val t = Ticket(1, onTimeUntil = now, usefulUntil = now + 2.5.seconds, lastChance = it % 2 == 0)
+            since[t] = now
+            place(t, queue.submit(t, now))
+            queue.settle(now).forEach { s -> place(s.ticket, s.placement) }
+        }
+        // Of the 100 who came back during the outage, those of its last 2.5 s are served, beside 40 after it.
+        expectThat(served).isGreaterThan(80)
+        expectThat(waited.max()).isLessThanOrEqualTo(2.6.seconds)
+    }
+
     /** Guards against an outage that is declared because a part of the replicas fails. */
     @Test
     fun `one failing replica is no outage`() {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -90,11 +90,14 @@
 
     private fun seekReplica() {
         val now = ProcessClock.now()
+        val returned = patience < route.timeout * RETURNED_SHARE
+        val useful = patience * if (returned) LAST_CHANCE_SHARE else USEFUL_SHARE
         val t = Ticket(
             priority = workspace?.priority ?: route.priority,
             onTimeUntil = request.arrivedAt + route.objective * ON_TIME_SHARE,
-            usefulUntil = minOf(request.arrivedAt + patience * USEFUL_SHARE, deadline).coerceAtLeast(now),
+            usefulUntil = minOf(request.arrivedAt + useful, deadline).coerceAtLeast(now),
             excluded = tried.toSet(),
+            lastChance = returned && route.kind is RequestKind.Stream && !streamStarted,
         )
         ticket = t
         placed(traffic.submit(this, service, t))
@@ -385,6 +388,12 @@
         /** Part of the caller's patience that may pass in the queue. */
         const val USEFUL_SHARE = 0.3
 
+        /** Callers with less of the route's time than this have been refused before, and seldom come back again. */
+        const val RETURNED_SHARE = 0.8
+
+        /** Part of the patience of such a caller that may pass in the queue; most answers fit into the rest. */
+        const val LAST_CHANCE_SHARE = 0.45
+
         /** Part of the objective after which a silent replica is given up for another one. */
         const val SILENCE_SHARE = 0.7
 
