Move streams away from a very slow rank even when they must wait for a place

No stream was moved, since the other places were taken and requests waited; the rank kept its 7 requests and passes took 0.3 to 1 s.

Ruled out: the report of slow ranks; all gateways had it at 19.62 s.

Change: from four times on a stream is moved to the next place that becomes free. A stream that has begun and lost its replica is placed before requests that have not, for as long as its caller stays.

--- a/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
@@ -116,12 +116,14 @@
 
     /**
      * True when a stream is better moved away from [replica]: its work is so slow that the whole group waits for it, and
-     * a sound replica outside [excluded] has a place at once.
+     * a sound replica outside [excluded] has a place at once. With a very slow one no stream of the group would end in
+     * time, so that the move is worth the wait for a place.
      */
     public fun betterMoved(replica: ReplicaId, excluded: Set<ReplicaId>, now: Timestamp): Boolean {
         val pace = loads[replica]?.pace ?: return false
-        if (pace < PACE_TO_MOVE || waiting.isNotEmpty()) return false
-        return loads.values.any { !it.slow && it.replica.id !in excluded && room(it) > 0 && !it.avoided(now) }
+        if (pace < PACE_TO_MOVE) return false
+        val others = loads.values.filter { !it.slow && it.replica.id !in excluded && !it.avoided(now) }
+        return if (pace >= PACE_TO_MOVE_AND_WAIT) others.isNotEmpty() else waiting.isEmpty() && others.any { room(it) > 0 }
     }
 
     /** Gives the place of an ended attempt back. [held] is how long the attempt took. */
@@ -197,6 +199,9 @@
         /** A stream read again elsewhere costs its group a pass or two; a slow rank costs more in every pass from here on. */
         const val PACE_TO_MOVE = 2.0
 
+        /** From here on the fixed part of a pass alone takes several times the longest pause that is on time. */
+        const val PACE_TO_MOVE_AND_WAIT = 4.0
+
         /** Used until attempts have ended; about the time of a short model answer. */
         val INITIAL_HOLD: Duration = 1.seconds
 
--- a/core/src/test/kotlin/org/jujubelead/core/dispatch/ServiceQueueTest.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/dispatch/ServiceQueueTest.kt
@@ -72,6 +72,23 @@
         expectThat(queue.settle(start).map { it.placement.replicaId() }).isEqualTo(listOf("slow"))
     }
 
+    /** Guards against streams that are broken off a rank which is only a little slow, or with nowhere to go. */
+    @Test
+    fun `a stream leaves a slow rank for a free place, and a very slow one for the next place`() {
+        queue.replicasChanged(listOf(replica("slow", slots = 1), replica("sound", slots = 1)))
+        val moved = { queue.betterMoved(ReplicaId("slow"), setOf(ReplicaId("slow")), start) }
+        queue.paces { if (it.id == ReplicaId("slow")) 1.6 else 1.0 }
+        expectThat(moved()).isEqualTo(false)
+        queue.paces { if (it.id == ReplicaId("slow")) 3.0 else 1.0 }
+        expectThat(moved()).isEqualTo(true)
+        submit()
+        expectThat(moved()).isEqualTo(false)
+        queue.paces { if (it.id == ReplicaId("slow")) 12.0 else 1.0 }
+        expectThat(moved()).isEqualTo(true)
+        queue.paces { 12.0 }
+        expectThat(moved()).isEqualTo(false)
+    }
+
     /** Guards against a service that refuses everything because all of its ranks are slow. */
     @Test
     fun `ranks that are all slow serve what they can`() {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -92,10 +92,15 @@
         val now = ProcessClock.now()
         val returned = patience < route.timeout * RETURNED_SHARE
         val useful = patience * if (returned) LAST_CHANCE_SHARE else USEFUL_SHARE
+        // A stream that has begun goes on before others begin; its caller leaves when the gap becomes too long.
         val t = Ticket(
-            priority = workspace?.priority ?: route.priority,
-            onTimeUntil = request.arrivedAt + route.objective * ON_TIME_SHARE,
-            usefulUntil = minOf(request.arrivedAt + useful, deadline).coerceAtLeast(now),
+            priority = if (streamStarted) BEGUN_PRIORITY else workspace?.priority ?: route.priority,
+            onTimeUntil = if (streamStarted) now + LONGEST_GAP else request.arrivedAt + route.objective * ON_TIME_SHARE,
+            usefulUntil = if (streamStarted) {
+                minOf(now + LONGEST_GAP, deadline)
+            } else {
+                minOf(request.arrivedAt + useful, deadline).coerceAtLeast(now)
+            },
             excluded = tried.toSet(),
             lastChance = returned && route.kind is RequestKind.Stream && !streamStarted,
         )
@@ -388,6 +393,12 @@
         /** Part of the caller's patience that may pass in the queue. */
         const val USEFUL_SHARE = 0.3
 
+        /** Before all priorities of routes and workspaces, which begin at 0. */
+        const val BEGUN_PRIORITY = -1
+
+        /** Callers abandon a stream after a gap of two seconds; the next event takes its time too. */
+        val LONGEST_GAP: Duration = 1_500.milliseconds
+
         /** Callers with less of the route's time than this have been refused before, and seldom come back again. */
         const val RETURNED_SHARE = 0.8
 
