Bound the number of callers who wait for the end of an outage

Change: at most a third of all places, shared by the known gateways, is kept for callers who wait, for at most 0.35 of their time.

--- a/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
@@ -60,6 +60,9 @@
     private val loads = LinkedHashMap<ReplicaId, ReplicaLoad>()
     private val waiting = ArrayList<Ticket>()
     private var meanHold: Duration = INITIAL_HOLD
+
+    /** Instances that place requests on the replicas, this one included. */
+    public var instances: Int = 1
     private val outage = ServiceOutage()
 
     public val waitingCount: Int get() = waiting.size
@@ -100,7 +103,7 @@
             return Placement.Refused(NO_REPLICA_PAUSE, RefusalReason.NO_REPLICA)
         }
         if (!outage.mayPlace(now)) {
-            val waits = ticket.lastChance && now < ticket.usefulUntil && waiting.size < places
+            val waits = ticket.lastChance && now < ticket.usefulUntil && waiting.size < mostKeptInOutage
             if (!waits) return Placement.Refused(LONGEST_PAUSE, RefusalReason.OUTAGE)
             waiting += ticket
             return Placement.Queued
@@ -183,6 +186,9 @@
         return if (load.replica.zone == ownZone) busy else busy + OTHER_ZONE_COST
     }
 
+    /** More would crowd out, when the outage ends, those who can still be on time. */
+    private val mostKeptInOutage: Int get() = (places * KEPT_SHARE / instances).toInt()
+
     private val places: Int get() = loads.values.sumOf { (capacity(it) - it.elsewhere).coerceAtLeast(0) }
 
     private fun expectedWait(ticket: Ticket, now: Timestamp): Duration {
@@ -202,6 +208,9 @@
         /** From here on the fixed part of a pass alone takes several times the longest pause that is on time. */
         const val PACE_TO_MOVE_AND_WAIT = 4.0
 
+        /** Part of all places that may be taken by those who waited for the end of an outage. */
+        const val KEPT_SHARE = 1.0 / 3
+
         /** Used until attempts have ended; about the time of a short model answer. */
         val INITIAL_HOLD: Duration = 1.seconds
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
@@ -59,7 +59,10 @@
         PeerDirectory(store, control.next(), description.instance, self) { peers ->
             log.log(LogEvent.PEERS_CHANGED, "peers" to peers.joinToString(" ") { it.endpoint.toString() })
             relay.peersChanged(peers)
-            network.next().execute { exchange.peers = peers }
+            network.next().execute {
+                exchange.peers = peers
+                traffic.gateways = peers.size + 1
+            }
         }.start()
         listen(readiness, network) { servicePipeline(mapOf("/ready" to { _, answer -> answer(readiness()) })) }
         listen(callers, network) { callerPipeline(traffic) }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -403,7 +403,7 @@
         const val RETURNED_SHARE = 0.8
 
         /** Part of the patience of such a caller that may pass in the queue; most answers fit into the rest. */
-        const val LAST_CHANCE_SHARE = 0.45
+        const val LAST_CHANCE_SHARE = 0.35
 
         /** Part of the objective after which a silent replica is given up for another one. */
         const val SILENCE_SHARE = 0.7
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Traffic.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Traffic.kt
@@ -90,7 +90,16 @@
         settleAll()
     }
 
-    fun queue(service: ServiceId): ServiceQueue = queues.getOrPut(service) { ServiceQueue(ownZone = zone) }
+    /** Gateways that are known, this one included. */
+    var gateways: Int = 1
+        set(value) {
+            field = value
+            queues.values.forEach { it.instances = value }
+        }
+
+    fun queue(service: ServiceId): ServiceQueue = queues.getOrPut(service) {
+        ServiceQueue(ownZone = zone).apply { instances = gateways }
+    }
 
     private fun applyPaces(queue: ServiceQueue) = queue.paces { groups.pace(it.endpoint) }
 
