Decide how long a request waits in a place of its own, and split the log lines of a request

Change: TicketPolicy in core decides it, without a network, and TicketPolicyTest plays it; RequestLog has the lines of a request.

--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/Deployment.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/Deployment.kt
@@ -67,7 +67,9 @@
     }
 
     val gateways = List(sizes.gateways) { g ->
-        Instance("gateway-$g", "127.0.1.${g + 1}") { start("gateway", "gateway-$g", "127.0.1.${g + 1}", storeRelays[g].port, rank = null) }
+        Instance("gateway-$g", "127.0.1.${g + 1}") {
+            start("gateway", "gateway-$g", "127.0.1.${g + 1}", storeRelays[g].port, rank = null)
+        }
     }
     val agents = List(sizes.ranks) { r ->
         Instance("agent-$r", agentHost(r)) { start("rank-agent", "agent-$r", agentHost(r), store.port, rank = r) }
@@ -78,7 +80,14 @@
 
     /** Writes the entry of a plain replica. */
     fun announce(index: Int, id: String, draining: Boolean) =
-        writer.replica(id, PLAIN, "127.0.0.1:${replicaRelays[index].port}", zone(index), slots = SLOTS, draining = draining)
+        writer.replica(
+            id,
+            PLAIN,
+            "127.0.0.1:${replicaRelays[index].port}",
+            zone(index),
+            slots = SLOTS,
+            draining = draining,
+        )
 
     /** Sets the part of the answers of all replicas that are spoiled. */
     fun spoil(share: Double) = (ranks + plain).forEach { it.faultyShare = share }
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/Main.kt
@@ -21,7 +21,10 @@
     @Option(name = "--large", usage = "12 gateways and 40 ranks instead of 3 and 6")
     var large: Boolean = false
 
-    @Option(name = "--break", usage = "break a promise on purpose, to see its check fail: answers, once, refusals or maps")
+    @Option(
+        name = "--break",
+        usage = "break a promise on purpose, to see its check fail: answers, once, refusals or maps",
+    )
     var breakage: String? = null
 }
 
@@ -49,7 +52,10 @@
         val violations = check(history)
         if (violations.isNotEmpty()) failed += seed
         val served = history.calls.count { (it.end as? CallEnd.Answer)?.status == OK }
-        println("seed $seed: ${history.calls.size} requests, $served served, ${history.faults.size} faults, ${violations.size} violations")
+        println(
+            "seed $seed: ${history.calls.size} requests, $served served, ${history.faults.size} faults, " +
+                "${violations.size} violations",
+        )
         violations.take(SHOWN).forEach { println("  ${it.promise}: ${it.detail}") }
     }
     println("faults: " + faults.entries.joinToString(", ") { "${it.key} ${it.value}" })
@@ -64,15 +70,10 @@
     val once = calls.first { it.path == "/once/" && (it.end as? CallEnd.Answer)?.status == OK }
     return when (how) {
         null -> this
-
         "answers" -> copy(calls = calls.map { if (it === once) it.with(CallEnd.Answer(OK, "another's", true)) else it })
-
         "once" -> copy(runs = runs + runs.first { it.request == once.id })
-
         "refusals" -> copy(calls = calls.map { if (it === once) it.with(CallEnd.Answer(REFUSED, "", true)) else it })
-
         "maps" -> copy(mixedPasses = 1)
-
         else -> throw IllegalArgumentException("unknown breakage \"$how\"")
     }
 }
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakCallers.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakCallers.kt
@@ -48,7 +48,8 @@
     private lateinit var threads: List<Thread>
 
     fun start() {
-        threads = List(callers) { n -> thread(isDaemon = true, name = "caller-$n") { run(n, Random(seed * callers + n)) } }
+        threads =
+            List(callers) { n -> thread(isDaemon = true, name = "caller-$n") { run(n, Random(seed * callers + n)) } }
     }
 
     fun stop() {
@@ -125,7 +126,8 @@
         val body = StringBuilder()
         try {
             while (true) {
-                val size = line(input)?.toIntOrNull(HEX) ?: return CallEnd.Answer(status, body.toString(), whole = false)
+                val size =
+                    line(input)?.toIntOrNull(HEX) ?: return CallEnd.Answer(status, body.toString(), whole = false)
                 body.append(String(input.readNBytes(size)))
                 line(input)
                 if (size == 0) return CallEnd.Answer(status, body.toString(), whole = true)
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakChecks.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakChecks.kt
@@ -53,7 +53,9 @@
 private fun revoked(history: SoakHistory, runs: Map<String, List<Run>>): List<Violation> {
     val bound = history.revokedAt + Deployment.REVOCATION_MILLIS * NANOS_PER_MILLI
     return history.calls.filter { it.key == Deployment.REVOKED_KEY && it.sentAt > bound && it.id in runs }
-        .map { Violation("revocation", "${it.id} ran ${(it.sentAt - history.revokedAt) / NANOS_PER_MILLI} ms after it") }
+        .map {
+            Violation("revocation", "${it.id} ran ${(it.sentAt - history.revokedAt) / NANOS_PER_MILLI} ms after it")
+        }
 }
 
 /** A request that a replica was given is answered whole, unless its gateway or the replicas had a fault meanwhile. */
@@ -72,7 +74,8 @@
         calls.filter { c -> served != null && c.sentAt > served && (c.end as? CallEnd.Answer)?.status == DENIED }
             .map { Violation("configuration never back", "${it.id} was denied after the route had been served") }
     } + history.calls.filter { c ->
-        val late = c.sentAt > maxOf(history.routeAddedAt, history.calmFrom) + Deployment.CONFIGURATION_MILLIS * NANOS_PER_MILLI
+        val late =
+            c.sentAt > maxOf(history.routeAddedAt, history.calmFrom) + Deployment.CONFIGURATION_MILLIS * NANOS_PER_MILLI
         c.path == "/added/" && late && (c.end as? CallEnd.Answer)?.status == DENIED
     }.map { Violation("configuration in force", "${it.id} was denied in a calm deployment") }
 
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakFaults.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakFaults.kt
@@ -1,6 +1,6 @@
 /**
- * Faults from outside the programs: signals, relays, the store's condition, spoiled answers, late orders, and changes of
- * the configuration. Several sequences run at once, so that faults overlap and come in series.
+ * Faults from outside the programs: signals, relays, the store's condition, spoiled answers, late orders, and changes
+ * of the configuration. Several sequences run at once, so that faults overlap and come in series.
  */
 package org.jujubelead.bench.soak
 
@@ -47,49 +47,83 @@
         if (routeAddedAt == 0L) addRoute()
     }
 
+    private enum class Kind {
+        GATEWAY_KILLED,
+        GATEWAY_SUSPENDED,
+        GATEWAY_STOPPED,
+        AGENT_KILLED,
+        AGENT_SUSPENDED,
+        STORE,
+        WAY_TO_STORE,
+        WAY_TO_REPLICA,
+        ANSWERS_SPOILED,
+        ORDERS_LATE,
+        KEY_REVOKED,
+        ROUTE_ADDED,
+    }
+
     private fun inject(random: Random) {
         val gateway = random.nextInt(deployment.gateways.size)
-        val target = deployment.gateways[gateway]
         val agent = deployment.agents[random.nextInt(deployment.agents.size)]
         val millis = random.nextLong(SHORTEST_MILLIS, LONGEST_MILLIS)
-        when (random.nextInt(KINDS)) {
-            0 -> record("gateway killed", gateway, excusesCuts = true) { restart(target, ProcessSignal.KILL, millis) }
+        when (Kind.entries[random.nextInt(Kind.entries.size)]) {
+            Kind.GATEWAY_KILLED -> onGateway("killed", gateway, true) { restart(it, ProcessSignal.KILL, millis) }
 
-            1 -> record("gateway suspended", gateway, excusesCuts = true) { suspend(target, millis) }
+            Kind.GATEWAY_SUSPENDED -> onGateway("suspended", gateway, true) { suspend(it, millis) }
 
-            2, 3 -> record("gateway stopped", gateway, excusesCuts = false) { restart(target, ProcessSignal.TERM, 0) }
+            Kind.GATEWAY_STOPPED -> onGateway("stopped", gateway, false) { restart(it, ProcessSignal.TERM, 0) }
 
-            4 -> record("agent killed", null, excusesCuts = false) { restart(agent, ProcessSignal.KILL, millis) }
+            Kind.AGENT_KILLED -> everywhere("agent killed") { restart(agent, ProcessSignal.KILL, millis) }
 
-            5, 6 -> record("agent suspended", null, excusesCuts = false) { suspend(agent, millis) }
+            Kind.AGENT_SUSPENDED -> everywhere("agent suspended") { suspend(agent, millis) }
 
-            7 -> store(StoreCondition.entries[random.nextInt(1, StoreCondition.entries.size)], millis)
+            Kind.STORE -> store(StoreCondition.entries[random.nextInt(1, StoreCondition.entries.size)], millis)
 
-            8 -> relay("way to the store", gateway, deployment.storeRelays[gateway], random, millis, excusesCuts = false)
+            Kind.WAY_TO_STORE -> cutWay(
+                WayFault("way to the store", gateway, false),
+                storeRelay(gateway),
+                random,
+                millis,
+            )
 
-            9 -> {
-                val relay = deployment.replicaRelays[random.nextInt(deployment.replicaRelays.size)]
-                relay("way to a replica", null, relay, random, millis, excusesCuts = true)
-            }
+            Kind.WAY_TO_REPLICA -> cutWay(
+                WayFault("way to a replica", null, true),
+                replicaRelay(random),
+                random,
+                millis,
+            )
 
-            10 -> record("answers spoiled", null, excusesCuts = true) {
-                deployment.spoil(SPOILED_SHARE)
-                Thread.sleep(millis)
-                deployment.spoil(0.0)
-            }
+            Kind.ANSWERS_SPOILED -> spoil(millis)
 
-            11 -> record("orders late", null, excusesCuts = false) {
-                deployment.group.lateShare = LATE_SHARE
-                Thread.sleep(millis)
-                deployment.group.lateShare = 0.0
-            }
+            Kind.ORDERS_LATE -> delayOrders(millis)
 
-            12 -> if (revokedAt == 0L) record("key revoked", null, excusesCuts = false, ::revoke)
+            Kind.KEY_REVOKED -> if (revokedAt == 0L) everywhere("key revoked", ::revoke)
 
-            else -> if (routeAddedAt == 0L) record("route added", null, excusesCuts = false, ::addRoute)
+            Kind.ROUTE_ADDED -> if (routeAddedAt == 0L) everywhere("route added", ::addRoute)
         }
     }
 
+    private fun storeRelay(gateway: Int) = deployment.storeRelays[gateway]
+
+    private fun replicaRelay(random: Random) = deployment.replicaRelays[random.nextInt(deployment.replicaRelays.size)]
+
+    private fun onGateway(what: String, gateway: Int, excusesCuts: Boolean, body: (Instance) -> Unit) =
+        record("gateway $what", gateway, excusesCuts) { body(deployment.gateways[gateway]) }
+
+    private fun everywhere(what: String, body: () -> Unit) = record(what, null, excusesCuts = false, body)
+
+    private fun spoil(millis: Long) = record("answers spoiled", null, excusesCuts = true) {
+        deployment.spoil(SPOILED_SHARE)
+        Thread.sleep(millis)
+        deployment.spoil(0.0)
+    }
+
+    private fun delayOrders(millis: Long) = everywhere("orders late") {
+        deployment.group.lateShare = LATE_SHARE
+        Thread.sleep(millis)
+        deployment.group.lateShare = 0.0
+    }
+
     @Synchronized
     private fun revoke() {
         if (revokedAt != 0L) return
@@ -118,25 +152,28 @@
     }
 
     private fun store(condition: StoreCondition, millis: Long) =
-        record("store ${condition.name.lowercase()}", null, excusesCuts = false) {
+        everywhere("store ${condition.name.lowercase()}") {
             deployment.store.condition = condition
             Thread.sleep(millis)
             deployment.store.condition = StoreCondition.SERVING
         }
 
-    private fun relay(what: String, gateway: Int?, relay: TcpRelay, random: Random, millis: Long, excusesCuts: Boolean) {
-        when (random.nextInt(RELAY_KINDS)) {
-            0 -> record("$what silenced", gateway, excusesCuts) { relay.freeze() }
+    private class WayFault(val what: String, val gateway: Int?, val excusesCuts: Boolean)
+
+    private fun cutWay(way: WayFault, relay: TcpRelay, random: Random, millis: Long) {
+        val hit = { how: String, body: () -> Unit -> record("${way.what} $how", way.gateway, way.excusesCuts, body) }
+        when (random.nextInt(WAYS_TO_CUT)) {
+            0 -> hit("silenced") { relay.freeze() }
 
-            1 -> record("$what reset", gateway, excusesCuts) { relay.cut() }
+            1 -> hit("reset") { relay.cut() }
 
-            2 -> record("$what delayed", gateway, excusesCuts) {
+            2 -> hit("delayed") {
                 relay.delayMs = DELAY_MILLIS
                 Thread.sleep(millis)
                 relay.delayMs = 0
             }
 
-            else -> record("$what refused", gateway, excusesCuts) {
+            else -> hit("refused") {
                 relay.refusing = true
                 relay.cut()
                 Thread.sleep(millis)
@@ -153,8 +190,7 @@
 
     private companion object {
         const val SEQUENCES = 2
-        const val KINDS = 14
-        const val RELAY_KINDS = 4
+        const val WAYS_TO_CUT = 4
         const val MOST_PAUSE_MILLIS = 1_200L
         const val SHORTEST_MILLIS = 300L
         const val LONGEST_MILLIS = 4_000L
--- a/core/src/main/kotlin/org/jujubelead/core/dispatch/ReplicaLoad.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/dispatch/ReplicaLoad.kt
@@ -76,7 +76,7 @@
     private companion object {
         const val SOUND_PACE = 1.0
 
-        /** Ranks differ by some hundredths without being ill; from a quarter on the others carry its requests for less. */
+        /** Ranks differ by some hundredths without being ill; from here on others carry its requests for less. */
         const val SLOW_PACE = 1.25
 
         /** Some passes of an engine: the time in which a place becomes free. */
--- a/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
@@ -7,9 +7,9 @@
  * can no longer be on time do not hold up those that can, and a request that would not start before its deadline is
  * refused when it arrives instead of waiting in vain. A slow rank of a group gets no requests while other ranks are
  * sound: all ranks wait for it in every pass, and what it works on itself is the part that can be kept from it. While
- * all replicas fail together, as the ranks of a broken group do, only probes are placed; callers who can come back later
- * are refused at once, and those who have come back already and would be lost wait for the end of the outage as long as
- * an answer would still reach them. Mutable; owned by the traffic thread.
+ * all replicas fail together, as the ranks of a broken group do, only probes are placed; callers who can come back
+ * later are refused at once, and some of those who have come back already and would be lost wait for the end of the
+ * outage, as long as an answer would still reach them. Mutable; owned by the traffic thread.
  */
 package org.jujubelead.core.dispatch
 
@@ -118,15 +118,21 @@
     }
 
     /**
-     * True when a stream is better moved away from [replica]: its work is so slow that the whole group waits for it, and
-     * a sound replica outside [excluded] has a place at once. With a very slow one no stream of the group would end in
-     * time, so that the move is worth the wait for a place.
+     * True when a stream is better moved away from [replica]: its work is so slow that the whole group waits for it,
+     * and a sound replica outside [excluded] has a place at once. With a very slow one no stream of the group would end
+     * in time, so that the move is worth the wait for a place.
      */
     public fun betterMoved(replica: ReplicaId, excluded: Set<ReplicaId>, now: Timestamp): Boolean {
         val pace = loads[replica]?.pace ?: return false
         if (pace < PACE_TO_MOVE) return false
         val others = loads.values.filter { !it.slow && it.replica.id !in excluded && !it.avoided(now) }
-        return if (pace >= PACE_TO_MOVE_AND_WAIT) others.isNotEmpty() else waiting.isEmpty() && others.any { room(it) > 0 }
+        return if (pace >=
+            PACE_TO_MOVE_AND_WAIT
+        ) {
+            others.isNotEmpty()
+        } else {
+            waiting.isEmpty() && others.any { room(it) > 0 }
+        }
     }
 
     /** Gives the place of an ended attempt back. [held] is how long the attempt took. */
@@ -202,7 +208,7 @@
         fun serviceOrder(now: Timestamp): Comparator<Ticket> =
             compareBy({ it.onTimeUntil < now }, { it.priority }, { it.onTimeUntil.micros })
 
-        /** A stream read again elsewhere costs its group a pass or two; a slow rank costs more in every pass from here on. */
+        /** A stream read again elsewhere costs its group a pass or two; from here on a slow rank costs more. */
         const val PACE_TO_MOVE = 2.0
 
         /** From here on the fixed part of a pass alone takes several times the longest pause that is on time. */
--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/ExpertDemand.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/ExpertDemand.kt
@@ -1,10 +1,10 @@
 /**
  * How often the experts of each set were chosen of late.
  *
- * Choices of the last half second are kept apart from earlier ones, which fade. The earlier ones tell shares apart that
- * the topics of a few requests blur in the recent ones. Where the two differ by more than topics explain, demand has
- * shifted, and what was before is forgotten: a map for a mixture of old and new demand serves neither. Mutable; owned by
- * the control thread.
+ * Choices of the last half second are kept apart from earlier ones, which fade. The earlier ones tell shares apart
+ * that the topics of a few requests blur in the recent ones. Where the two differ by more than topics explain, demand
+ * has shifted, and what was before is forgotten: a map for a mixture of old and new demand serves neither. Mutable;
+ * owned by the control thread.
  */
 package org.jujubelead.core.expertmap
 
@@ -89,7 +89,7 @@
         /** Two spans hold about one status of each rank of a large group. */
         val SPAN: Duration = 250.milliseconds
 
-        /** Topics of the requests of half a second move up to a tenth of the choices; a shift moves a sixth and more. */
+        /** Topics of the requests of half a second move up to a tenth of the choices; a shift a sixth and more. */
         const val SHIFT = 0.14
 
         /** With fewer recent choices in a set their shares are chance. */
--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/MapPlanner.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/MapPlanner.kt
@@ -48,7 +48,7 @@
     /** Part of the recent choices that fall on other experts than before, averaged over the sets. */
     public val drift: Double get() = (0 until layout.sets).sumOf { demand.drift(it) } / layout.sets
 
-    /** Load of the most loaded rank of each set over the mean of its ranks, averaged over the sets; null without choices. */
+    /** Load of the most loaded rank of a set over the mean, averaged over the sets; null without choices. */
     public fun imbalance(current: GroupMap): Double? {
         val even = List(current.first().ranks.size) { 1.0 }
         val factors = current.indices.mapNotNull { set ->
--- /dev/null
+++ b/core/src/test/kotlin/org/jujubelead/core/dispatch/TicketPolicyTest.kt
@@ -0,0 +1,69 @@
+package org.jujubelead.core.dispatch
+
+import org.jujubelead.core.ids.ServiceId
+import org.jujubelead.core.route.RequestKind
+import org.jujubelead.core.route.Route
+import org.jujubelead.core.route.WeightedService
+import org.jujubelead.core.time.Timestamp
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class TicketPolicyTest {
+    private val stream = RequestKind.Stream(resumable = true, longestGap = 120.milliseconds)
+    private val now = Timestamp.ZERO + 10.seconds
+
+    private fun ticket(
+        kind: RequestKind = stream,
+        patience: Duration = 8.seconds,
+        streamStarted: Boolean = false,
+    ) = ticketFor(
+        PendingRequest(
+            route = Route(
+                name = "r", host = "h", pathPrefix = "/", kind = kind, timeout = 8.seconds,
+                objective = 400.milliseconds, priority = 2, services = listOf(WeightedService(ServiceId("s"), 1)),
+                mostAttempts = 2, anonymous = true,
+            ),
+            priority = 2,
+            arrivedAt = now,
+            patience = patience,
+            tried = emptySet(),
+            streamStarted = streamStarted,
+        ),
+        now,
+    )
+
+    /** Guards against a start that can no longer be on time and is placed as if it could. */
+    @Test
+    fun `a request is on time only while its work still fits into the objective`() {
+        expectThat(ticket().onTimeUntil).isLessThan(now + 400.milliseconds)
+        expectThat(ticket().usefulUntil).isLessThan(now + 8.seconds)
+    }
+
+    /** Guards against callers who are refused a second time at once, with most of their time left. */
+    @Test
+    fun `a caller of a stream who has come back may wait for the end of an outage`() {
+        expectThat(ticket(patience = 5.seconds).lastChance).isTrue()
+        expectThat(ticket(patience = 8.seconds).lastChance).isFalse()
+        expectThat(ticket(kind = RequestKind.AtMostOnce, patience = 5.seconds).lastChance).isFalse()
+    }
+
+    /** Guards against a stream that stands still behind requests that have not begun, until its caller leaves. */
+    @Test
+    fun `a stream that has begun is placed first, while its caller stays`() {
+        val begun = ticket(streamStarted = true)
+        expectThat(begun.priority).isLessThan(0)
+        expectThat(begun.onTimeUntil).isGreaterThan(now + 1.seconds)
+        expectThat(begun.usefulUntil).isLessThanOrEqualTo(now + 2.seconds)
+        expectThat(ticket(patience = 500.milliseconds, streamStarted = true).usefulUntil)
+            .isEqualTo(now + 500.milliseconds)
+    }
+}
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -15,8 +15,10 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
 import org.jujubelead.core.dispatch.AttemptOutcome
+import org.jujubelead.core.dispatch.PendingRequest
 import org.jujubelead.core.dispatch.Placement
 import org.jujubelead.core.dispatch.Ticket
+import org.jujubelead.core.dispatch.ticketFor
 import org.jujubelead.core.ids.ServiceId
 import org.jujubelead.core.replica.Replica
 import org.jujubelead.core.replica.ReplicaId
@@ -41,6 +43,7 @@
     var over = false
         private set
 
+    private val log = RequestLog(traffic, request)
     private lateinit var route: Route
     private var service = ServiceId("")
     private var workspace: Workspace? = null
@@ -70,12 +73,14 @@
             is Authorization.Undecided -> return refuse(STALE_PAUSE, a.reason, close = true)
 
             is Authorization.Denied -> {
-                return ownAnswer(LogEvent.REQUEST_REFUSED, a.status, a.reason, ownHeaders(), close = false)
+                return ownAnswer(LogEvent.REQUEST_REFUSED, a.status, a.reason)
             }
 
             is Authorization.Allowed -> {
                 route = a.route
                 workspace = a.workspace
+                log.route = a.route
+                log.workspace = a.workspace
             }
         }
         patience = minOf(route.timeout, request.timeLeftMillis?.milliseconds ?: route.timeout)
@@ -89,21 +94,15 @@
     }
 
     private fun seekReplica() {
-        val now = ProcessClock.now()
-        val returned = patience < route.timeout * RETURNED_SHARE
-        val useful = patience * if (returned) LAST_CHANCE_SHARE else USEFUL_SHARE
-        // A stream that has begun goes on before others begin; its caller leaves when the gap becomes too long.
-        val t = Ticket(
-            priority = if (streamStarted) BEGUN_PRIORITY else workspace?.priority ?: route.priority,
-            onTimeUntil = if (streamStarted) now + LONGEST_GAP else request.arrivedAt + route.objective * ON_TIME_SHARE,
-            usefulUntil = if (streamStarted) {
-                minOf(now + LONGEST_GAP, deadline)
-            } else {
-                minOf(request.arrivedAt + useful, deadline).coerceAtLeast(now)
-            },
-            excluded = tried.toSet(),
-            lastChance = returned && route.kind is RequestKind.Stream && !streamStarted,
+        val pending = PendingRequest(
+            route = route,
+            priority = workspace?.priority ?: route.priority,
+            arrivedAt = request.arrivedAt,
+            patience = patience,
+            tried = tried.toSet(),
+            streamStarted = streamStarted,
         )
+        val t = ticketFor(pending, ProcessClock.now())
         ticket = t
         placed(traffic.submit(this, service, t))
     }
@@ -168,8 +167,8 @@
     fun leaveSlowReplica() {
         val a = attempt ?: return
         val now = ProcessClock.now()
-        val stream = route.kind is RequestKind.Stream && route.kind.repeatable && streamStarted
-        if (over || !stream || !mayRepeat() || !traffic.budget(service).available(now)) return
+        if (over || !streamStarted || !route.kind.repeatable) return
+        if (!mayRepeat() || !traffic.budget(service).available(now)) return
         if (!traffic.queue(service).betterMoved(a.replica.id, tried, now)) return
         a.cancel()
         attemptEnded(a, AttemptEnd.Moved)
@@ -187,16 +186,7 @@
         if (over) return
         traffic.metrics.attempts.labelValues(end.label).inc()
         if (end !is AttemptEnd.Answered) {
-            traffic.log.log(
-                LogEvent.ATTEMPT_ENDED,
-                "request" to request.id,
-                "replica" to a.replica.id,
-                "attempt" to attempts,
-                "end" to end.label,
-                "heldMillis" to held.inWholeMilliseconds,
-                "connectionUse" to a.connectionUse,
-                "lastEvent" to lastEvent,
-            )
+            log.attemptEnded(a, end, attempts, held, lastEvent)
         }
         when (end) {
             is AttemptEnd.Answered -> answered(a, end)
@@ -225,7 +215,7 @@
         }
         if (!another) return false
         if (arrived && !traffic.budget(service).tryTake(ProcessClock.now())) return false
-        if (streamStarted) traffic.log.log(LogEvent.STREAM_RESUMED, "request" to request.id, "after" to lastEvent)
+        if (streamStarted) log.resumed(lastEvent)
         seekReplica()
         return true
     }
@@ -239,7 +229,7 @@
         if (streamStarted) return breakStream(reason)
         val given = replicaFailure
         if (given != null) return deliver(given.status, given.headers, given.body)
-        fail(HttpResponseStatus.BAD_GATEWAY, reason)
+        ownAnswer(LogEvent.REQUEST_FAILED, HttpResponseStatus.BAD_GATEWAY, reason)
     }
 
     private fun answered(a: Attempt, end: AttemptEnd.Answered) {
@@ -291,19 +281,13 @@
         when {
             streamStarted -> breakStream("deadline")
             attempt == null && !mayHaveRun -> refuse(FULL_PAUSE, "deadline")
-            else -> fail(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline")
+            else -> ownAnswer(LogEvent.REQUEST_FAILED, HttpResponseStatus.GATEWAY_TIMEOUT, "deadline")
         }
     }
 
     fun callerLeft() {
         if (over) return
-        traffic.log.log(
-            LogEvent.REQUEST_ABANDONED,
-            "request" to request.id,
-            "afterMillis" to (ProcessClock.now() - request.arrivedAt).inWholeMilliseconds,
-            "attempts" to attempts,
-            "lastEvent" to lastEvent,
-        )
+        log.abandoned(attempts, lastEvent)
         finish("abandoned", status = 0)
         request.release()
     }
@@ -315,15 +299,12 @@
         ownAnswer(LogEvent.REQUEST_REFUSED, HttpResponseStatus.SERVICE_UNAVAILABLE, reason, headers, close)
     }
 
-    private fun fail(status: HttpResponseStatus, reason: String) =
-        ownAnswer(LogEvent.REQUEST_FAILED, status, reason, ownHeaders(), close = false)
-
     private fun ownAnswer(
         event: LogEvent,
         status: HttpResponseStatus,
         reason: String,
-        headers: HttpHeaders,
-        close: Boolean,
+        headers: HttpHeaders = ownHeaders(),
+        close: Boolean = false,
     ) {
         logEnd(event, status.code(), reason)
         finish(reason, status.code())
@@ -341,20 +322,8 @@
     }
 
     private fun logEnd(event: LogEvent, status: Int, reason: String) {
-        traffic.log.log(
-            event,
-            "request" to request.id,
-            "route" to if (::route.isInitialized) route.name else null,
-            "workspace" to workspace?.id,
-            "status" to status,
-            "reason" to reason,
-            "attempts" to attempts,
-            "millis" to (ProcessClock.now() - request.arrivedAt).inWholeMilliseconds,
-            "configuration" to traffic.state.configuration?.version,
-            "configurationAgeMillis" to
-                traffic.state.age(ProcessClock.read()).takeIf { it.isFinite() }?.inWholeMilliseconds,
-            "waiting" to if (::route.isInitialized) traffic.queue(service).waitingCount else null,
-        )
+        val waiting = if (::route.isInitialized) traffic.queue(service).waitingCount else null
+        log.ended(event, status, reason, attempts, waiting)
     }
 
     private fun finish(result: String, status: Int) {
@@ -373,38 +342,10 @@
         val took = ProcessClock.now() - request.arrivedAt
         traffic.metrics.requests.labelValues(result).inc()
         traffic.metrics.duration.observe(took.inWholeMicroseconds / MICROS_PER_SECOND)
-        if (result == "answered") {
-            traffic.log.log(
-                LogEvent.REQUEST_ANSWERED,
-                "request" to request.id,
-                "route" to route.name,
-                "status" to status,
-                "replica" to tried.lastOrNull(),
-                "attempts" to attempts,
-                "millis" to took.inWholeMilliseconds,
-            )
-        }
+        if (result == "answered") log.answered(status, tried.lastOrNull(), attempts)
     }
 
     private companion object {
-        /** Part of the objective after which a start is too late to be on time; the rest is the work itself. */
-        const val ON_TIME_SHARE = 0.55
-
-        /** Part of the caller's patience that may pass in the queue. */
-        const val USEFUL_SHARE = 0.3
-
-        /** Before all priorities of routes and workspaces, which begin at 0. */
-        const val BEGUN_PRIORITY = -1
-
-        /** Callers abandon a stream after a gap of two seconds; the next event takes its time too. */
-        val LONGEST_GAP: Duration = 1_500.milliseconds
-
-        /** Callers with less of the route's time than this have been refused before, and seldom come back again. */
-        const val RETURNED_SHARE = 0.8
-
-        /** Part of the patience of such a caller that may pass in the queue; most answers fit into the rest. */
-        const val LAST_CHANCE_SHARE = 0.35
-
         /** Part of the objective after which a silent replica is given up for another one. */
         const val SILENCE_SHARE = 0.7
 
--- /dev/null
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/RequestLog.kt
@@ -0,0 +1,67 @@
+/**
+ * The log lines of one request: how it ended, how its attempts ended, and what decided that.
+ */
+package org.jujubelead.gateway.caller
+
+import org.jujubelead.core.replica.ReplicaId
+import org.jujubelead.core.route.Route
+import org.jujubelead.core.route.Workspace
+import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.telemetry.LogEvent
+import kotlin.time.Duration
+
+internal class RequestLog(private val traffic: Traffic, private val request: InboundRequest) {
+    /** Set once the request has been authorized. */
+    var route: Route? = null
+    var workspace: Workspace? = null
+
+    private val sinceArrival: Long get() = (ProcessClock.now() - request.arrivedAt).inWholeMilliseconds
+
+    /** The request was refused or failed; [status] is 0 when its connection was ended instead. */
+    fun ended(event: LogEvent, status: Int, reason: String, attempts: Int, waiting: Int?) = traffic.log.log(
+        event,
+        "request" to request.id,
+        "route" to route?.name,
+        "workspace" to workspace?.id,
+        "status" to status,
+        "reason" to reason,
+        "attempts" to attempts,
+        "millis" to sinceArrival,
+        "configuration" to traffic.state.configuration?.version,
+        "configurationAgeMillis" to
+            traffic.state.age(ProcessClock.read()).takeIf { it.isFinite() }?.inWholeMilliseconds,
+        "waiting" to waiting,
+    )
+
+    fun answered(status: Int, replica: ReplicaId?, attempts: Int) = traffic.log.log(
+        LogEvent.REQUEST_ANSWERED,
+        "request" to request.id,
+        "route" to route?.name,
+        "status" to status,
+        "replica" to replica,
+        "attempts" to attempts,
+        "millis" to sinceArrival,
+    )
+
+    fun abandoned(attempts: Int, lastEvent: Long?) = traffic.log.log(
+        LogEvent.REQUEST_ABANDONED,
+        "request" to request.id,
+        "afterMillis" to sinceArrival,
+        "attempts" to attempts,
+        "lastEvent" to lastEvent,
+    )
+
+    fun attemptEnded(a: Attempt, end: AttemptEnd, number: Int, held: Duration, lastEvent: Long?) = traffic.log.log(
+        LogEvent.ATTEMPT_ENDED,
+        "request" to request.id,
+        "replica" to a.replica.id,
+        "attempt" to number,
+        "end" to end.label,
+        "heldMillis" to held.inWholeMilliseconds,
+        "connectionUse" to a.connectionUse,
+        "lastEvent" to lastEvent,
+    )
+
+    fun resumed(lastEvent: Long?) =
+        traffic.log.log(LogEvent.STREAM_RESUMED, "request" to request.id, "after" to lastEvent)
+}
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -245,7 +245,9 @@
             log.log(
                 LogEvent.GROUP_LOAD,
                 "passMillis" to (now - loggedAt).inWholeMilliseconds / passes,
-                "paces" to ranks.filterValues { it.pace > 1 }.entries.joinToString(" ") { "${it.key}:${it.value.pace}" },
+                "paces" to ranks.filterValues {
+                    it.pace > 1
+                }.entries.joinToString(" ") { "${it.key}:${it.value.pace}" },
                 "running" to ranks.values.joinToString(" ") { it.running.toString() },
                 "imbalance" to change.current?.let(planner::imbalance)?.let { "%.2f".format(it) },
                 "drift" to "%.2f".format(planner.drift),
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/KnownMaps.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/KnownMaps.kt
@@ -10,7 +10,7 @@
         override fun removeEldestEntry(eldest: MutableMap.MutableEntry<Pair<Long, Long>, GroupMap>?) = size > MOST_MAPS
     }
 
-    /** The map that [order] is about; null when its base is not known. Throws [IllegalArgumentException] on nonsense. */
+    /** The map of [order]; null when its base is not known. Throws [IllegalArgumentException] on nonsense. */
     fun complete(order: PrepareOrder): GroupMap? {
         val map = order.map?.let(::decodeMap) ?: changed(order) ?: return null
         maps[order.epoch to order.version] = map
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankLink.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankLink.kt
@@ -1,11 +1,12 @@
 /**
  * The coordinator's way to one rank, through the agent beside it.
  *
- * Sends one order at a time, and keeps the newest observation. While an agent is silent, since its instance is suspended
- * or cut off, its replica is read directly, and so are the orders sent that end a hold: the whole group waits for them,
- * and they are safe whoever sends them. Orders that begin a change always go through the agent: only an agent can tell
- * that the coordinator who sent one has been deposed. A link exists only after its agent has followed this coordinator's
- * term, so the agent lets no order of an earlier term through when it comes back. Runs on the control thread.
+ * Sends one order at a time, and keeps the newest observation. While an agent is silent, since its instance is
+ * suspended or cut off, its replica is read directly, and orders that end a hold are sent directly: the whole group
+ * waits for them, and they are safe whoever sends them. Orders that begin a change always go through the agent: only an
+ * agent can tell that the coordinator who sent one has been deposed. A link exists only after its agent has followed
+ * this coordinator's term, so the agent lets no order of an earlier term through when it comes back. Runs on the
+ * control thread.
  */
 package org.jujubelead.gateway.rank
 
@@ -114,7 +115,6 @@
     private fun sendByAgent(order: MapOrder, epoch: Long, sentAt: Timestamp, done: () -> Unit) {
         val forAgent = when (order) {
             is MapOrder.Prepare -> RankOrder(term, body = null, prepare = prepareOrder(order, epoch))
-
             is MapOrder.Arm, is MapOrder.Hold, is MapOrder.Release -> RankOrder(term, encodeOrder(order, epoch))
         }
         val message = rankJson.encodeToString(RankOrder.serializer(), forAgent)
