--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakCallers.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakCallers.kt
@@ -1,6 +1,8 @@
 /** Callers that keep their connections, and what they sent and got. */
 package org.jujubelead.bench.soak
 
+import org.jujubelead.platform.standins.readHttpHeaders
+import org.jujubelead.platform.standins.readHttpLine
 import org.jujubelead.platform.wire.Headers
 import java.io.BufferedInputStream
 import java.io.IOException
@@ -111,9 +113,8 @@
     }
 
     private fun answer(input: BufferedInputStream): CallEnd {
-        val first = line(input) ?: return CallEnd.Closed
-        val headers = generateSequence { line(input)?.ifEmpty { null } }
-            .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+        val first = input.readHttpLine() ?: return CallEnd.Closed
+        val headers = input.readHttpHeaders()
         val status = first.split(' ')[1].toInt()
         val last = headers["connection"] == "close"
         if (headers["transfer-encoding"] == "chunked") return chunked(input, status).copy(last = last)
@@ -127,9 +128,10 @@
         try {
             while (true) {
                 val size =
-                    line(input)?.toIntOrNull(HEX) ?: return CallEnd.Answer(status, body.toString(), whole = false)
+                    input.readHttpLine()?.toIntOrNull(HEX)
+                        ?: return CallEnd.Answer(status, body.toString(), whole = false)
                 body.append(String(input.readNBytes(size)))
-                line(input)
+                input.readHttpLine()
                 if (size == 0) return CallEnd.Answer(status, body.toString(), whole = true)
             }
         } catch (_: IOException) {
@@ -137,16 +139,6 @@
         }
     }
 
-    private fun line(input: BufferedInputStream): String? {
-        val text = StringBuilder()
-        while (true) {
-            val c = input.read()
-            if (c < 0) return null
-            if (c == '\n'.code) return text.toString().trimEnd('\r')
-            text.append(c.toChar())
-        }
-    }
-
     private companion object {
         val PATHS = listOf("/safe/", "/once/", "/stream/", "/added/")
         const val PATIENCE_MILLIS = 4_000L
