Explain a request from the log lines of all processes, and check settings without a start

On-call engineers have logs and metrics only; a request's lines and what other processes came to believe around it stood in 81 logs. explain ID reads them from standard input, check SETTINGS prints the faults of a settings file.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/Main.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/Main.kt
@@ -13,6 +13,7 @@
 import org.jujubelead.gateway.telemetry.Defects
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
+import org.jujubelead.gateway.telemetry.RequestExplanation
 import org.jujubelead.platform.wire.SETTINGS_PATH_VARIABLE
 import sun.misc.Signal
 import java.io.File
@@ -20,19 +21,33 @@
 import kotlin.system.exitProcess
 
 private const val EXIT_USAGE = 2
+private const val EXIT_UNKNOWN = 1
+private val USAGE = """
+    usage: jujubelead gateway|rank-agent [SETTINGS]   runs a program
+           jujubelead check SETTINGS                  reads settings and prints their faults
+           jujubelead explain REQUEST < LOGS          prints what became of a request
+           jujubelead rehearse                        runs both programs for a moment, for the build
+""".trimIndent()
 
 public fun main(args: Array<String>) {
-    if (args.firstOrNull() == "rehearse") {
-        rehearse()
-        exitProcess(0)
+    when (args.firstOrNull()) {
+        "rehearse" -> {
+            rehearse()
+            exitProcess(0)
+        }
+
+        "check" -> {
+            val description = readOrExit(args.getOrNull(1) ?: usage("check needs a settings file"))
+            println("${description.instance}: valid")
+            exitProcess(0)
+        }
+
+        "explain" -> exitProcess(explain(args.getOrNull(1) ?: usage("explain needs the id of a request")))
     }
     val path =
         args.getOrNull(1) ?: System.getenv(SETTINGS_PATH_VARIABLE)
             ?: usage("$SETTINGS_PATH_VARIABLE names no settings file")
-    val description = read(path).getOrElse { faults ->
-        faults.forEach { System.err.println("$path: ${it.path}: ${it.message}") }
-        exitProcess(EXIT_USAGE)
-    }
+    val description = readOrExit(path)
     val log = EventLog(instance = description.instance.value).start()
     Defects.reportTo(log)
     when (args.firstOrNull()) {
@@ -56,6 +71,20 @@
     exitProcess(0)
 }
 
+/** Prints what became of [request] by the log lines on standard input; returns the exit code. */
+private fun explain(request: String): Int {
+    val story = RequestExplanation(generateSequence(::readlnOrNull)).of(request)
+    if (story == null) System.err.println("jujubelead: no line names request $request")
+    story?.forEach(::println)
+    return if (story == null) EXIT_UNKNOWN else 0
+}
+
+/** Reads the settings; faults are printed and end the process. */
+private fun readOrExit(path: String): ProcessDescription = read(path).getOrElse { faults ->
+    faults.forEach { System.err.println("$path: ${it.path}: ${it.message}") }
+    exitProcess(EXIT_USAGE)
+}
+
 private fun read(path: String): Result<ProcessDescription, List<SettingsFault>> =
     try {
         readProcessDescription(File(path).readText())
@@ -72,6 +101,6 @@
 
 private fun usage(message: String): Nothing {
     System.err.println("jujubelead: $message")
-    System.err.println("usage: jujubelead gateway|rank-agent [SETTINGS]\n       jujubelead rehearse")
+    System.err.println(USAGE)
     exitProcess(EXIT_USAGE)
 }
