Reset a request under way when its caller leaves

Cause: the instance beside a replica was suspended from about 15.5 to 19.4 s. Requests that had been sent to the replica waited on the way; the callers left two seconds later and the gateway closed the connections; when the instance went on, the bytes were delivered, and the close after them.

Ruled out: requests that are placed after their caller has left; the queue and the connections being opened check for that.

Change: a connection with a request under way is reset instead of closed, which drops what is held up. ForwardingTest sees a close without the change and a reset with it.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpConnection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpConnection.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -94,8 +95,12 @@
         channel.config().isAutoRead = on
     }
 
-    /** Ends the connection and forgets its request. */
+    /**
+     * Ends the connection and forgets its request. A request that is under way is reset: its bytes may still be held up
+     * on the way to a suspended instance, and an ordinary close would deliver them when nobody waits any more.
+     */
     public fun close() {
+        if (receiver != null) channel.config().setOption(ChannelOption.SO_LINGER, 0)
         receiver = null
         channel.close()
     }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/FakeReplica.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/FakeReplica.kt
@@ -58,6 +58,11 @@
     /** Counted down when a connection with a request ends from the other side. */
     val left = CountDownLatch(1)
 
+    /** True when a connection was reset from the other side instead of closed. */
+    @Volatile
+    var wasReset = false
+        private set
+
     init {
         daemon {
             while (true) {
@@ -107,8 +112,9 @@
         Thread {
             try {
                 run()
-            } catch (_: IOException) {
+            } catch (e: IOException) {
                 // The test or the gateway closed the socket.
+                if (e.message.orEmpty().contains("reset")) wasReset = true
                 left.countDown()
             }
         }.apply { isDaemon = true }.start()
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/ForwardingTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/ForwardingTest.kt
@@ -194,6 +194,24 @@
         }
     }
 
+    /**
+     * Guards against a request that reaches a replica long after its caller has left: bytes that are held up on the way
+     * to a suspended instance are dropped by a reset, and delivered before an ordinary close.
+     */
+    @Test
+    fun `a request under way is reset when its caller leaves`() {
+        FakeReplica { Thread.sleep(100) }.use { replica ->
+            GatewayFixture(replica).use { gateway ->
+                val caller = gateway.connect()
+                caller.post("/stream/x", id = "gone")
+                while (replica.requests.isEmpty()) Thread.sleep(5)
+                caller.close()
+                expectThat(replica.left.await(2, TimeUnit.SECONDS)).isTrue()
+                expectThat(replica.wasReset).isTrue()
+            }
+        }
+    }
+
     /** Guards against a request that is hidden in another one's body. */
     @Test
     fun `a request with two lengths is refused and reaches no replica`() {
