--- a/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/dispatch/ServiceQueue.kt
@@ -124,14 +124,11 @@
      */
     public fun betterMoved(replica: ReplicaId, excluded: Set<ReplicaId>, now: Timestamp): Boolean {
         val pace = loads[replica]?.pace ?: return false
-        if (pace < PACE_TO_MOVE) return false
         val others = loads.values.filter { !it.slow && it.replica.id !in excluded && !it.avoided(now) }
-        return if (pace >=
-            PACE_TO_MOVE_AND_WAIT
-        ) {
-            others.isNotEmpty()
-        } else {
-            waiting.isEmpty() && others.any { room(it) > 0 }
+        return when {
+            pace < PACE_TO_MOVE -> false
+            pace < PACE_TO_MOVE_AND_WAIT -> waiting.isEmpty() && others.any { room(it) > 0 }
+            else -> others.isNotEmpty()
         }
     }
 
