--- a/core/src/main/kotlin/org/jujubelead/core/ids/Ids.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/ids/Ids.kt
@@ -88,3 +88,9 @@
     override fun compareTo(other: Fence): Int = value.compareTo(other.value)
     override fun toString(): String = value.toString()
 }
+
+/** Id of a part of a prompt. Requests whose prompts share the part name the same id. */
+@JvmInline
+public value class PromptPartId(public val value: String) {
+    override fun toString(): String = value
+}
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
@@ -86,6 +86,10 @@
 
     private var lastEventAt: Timestamp? = null
 
+    /** Number of complete events that the replica has sent. */
+    var eventCount: Int = 0
+        private set
+
     /** True once the head of the response has arrived. */
     val responseStarted: Boolean get() = head != null
 
@@ -164,8 +168,17 @@
         val streamed = headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty().startsWith(Headers.EVENT_STREAM)
         if (notExecuted == null && status.code() == HttpResponseStatus.OK.code() && streamed) {
             splitter =
-                EventStreamSplitter { id, bytes -> if (ended) bytes.release() else exchange.onEvent(this, id, bytes) }
+                EventStreamSplitter { id, bytes -> onEvent(id, bytes) }
+        }
+    }
+
+    private fun onEvent(id: Long?, bytes: ByteBuf) {
+        if (ended) {
+            bytes.release()
+            return
         }
+        eventCount++
+        exchange.onEvent(this, id, bytes)
     }
 
     private fun refusalResult(status: HttpResponseStatus): AttemptEnd.NotExecuted =
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/InboundRequest.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/InboundRequest.kt
@@ -6,9 +6,11 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
+import org.jujubelead.core.ids.PromptPartId
 import org.jujubelead.core.ids.RequestId
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.platform.wire.Headers
+import org.jujubelead.platform.wire.decodeSharedPromptParts
 
 /** @property body body of the request; [release] must be called once. */
 internal class InboundRequest(private val head: HttpRequest, val body: ByteBuf, val arrivedAt: Timestamp) {
@@ -23,6 +25,9 @@
     /** Time in milliseconds until the caller's deadline; null if the request has none. */
     val timeLeftMillis: Long? = headers.get(Headers.DEADLINE)?.trim()?.toLongOrNull()
 
+    /** Parts of the prompt that other requests can have as well. */
+    val sharedParts: List<PromptPartId> = decodeSharedPromptParts(headers.get(Headers.PROMPT_PARTS))
+
     val apiKey: String? = headers.get(HttpHeaderNames.AUTHORIZATION)?.trim()?.let { text ->
         val scheme = text.substringBefore(' ')
         if (scheme.equals(Headers.AUTH_SCHEME, ignoreCase = true)) text.substringAfter(' ', "").trim() else null
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/RequestLog.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/RequestLog.kt
@@ -15,6 +15,8 @@
 
     private val sinceArrival: Long get() = (ProcessClock.now() - request.arrivedAt).inWholeMilliseconds
 
+    private val sharedParts: String? get() = request.sharedParts.joinToString(" ").ifEmpty { null }
+
     /** Logs that the request was refused or failed. [status] is 0 if its connection was closed instead. */
     fun ended(event: LogEvent, status: Int, reason: String, attempts: Int, queueLength: Int?) = dataPlane.log.log(
         event,
@@ -39,6 +41,7 @@
         "replica" to replica,
         "attempts" to attempts,
         "millis" to sinceArrival,
+        "parts" to sharedParts,
     )
 
     fun abandoned(attempts: Int, lastEvent: Long?) = dataPlane.log.log(
@@ -59,6 +62,9 @@
             "heldMillis" to elapsed.inWholeMilliseconds,
             "connectionUse" to a.connectionRequestCount,
             "lastEvent" to lastEvent,
+            "responseStarted" to a.responseStarted,
+            "events" to a.eventCount,
+            "parts" to sharedParts,
         )
 
     fun resumed(lastEvent: Long?) =
