Add a failing test: a prompt part crashes one replica after the other

Four replicas on loopback crash when they begin to answer a prompt with one part. On this code the part reaches all four (the test wants one), so sound prompts have no replica left.

--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/FakeReplica.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/FakeReplica.kt
@@ -16,7 +16,12 @@
 }
 
 /** Sends the response to one request; the connection can also be closed or reset. */
-internal class Reply(val request: ReceivedRequest, private val out: OutputStream, private val socket: Socket) {
+internal class Reply(
+    val request: ReceivedRequest,
+    private val out: OutputStream,
+    private val socket: Socket,
+    private val replica: FakeReplica,
+) {
     fun raw(text: String) {
         out.write(text.toByteArray())
         out.flush()
@@ -43,6 +48,9 @@
 
     fun close() = socket.close()
 
+    /** Ends the replica: its connections are reset, and new ones are refused. */
+    fun crash() = replica.crash()
+
     fun reset() {
         socket.setSoLinger(true, 0)
         socket.close()
@@ -65,7 +73,7 @@
 
     init {
         startDaemon {
-            while (true) {
+            while (!server.isClosed) {
                 val socket = server.accept()
                 sockets += socket
                 startDaemon { serve(socket) }
@@ -82,7 +90,7 @@
                 return
             }
             requests += request
-            answer(Reply(request, socket.getOutputStream(), socket))
+            answer(Reply(request, socket.getOutputStream(), socket, this))
         }
     }
 
@@ -120,6 +128,14 @@
         }.apply { isDaemon = true }.start()
     }
 
+    fun crash() {
+        server.close()
+        sockets.forEach {
+            it.setSoLinger(true, 0)
+            it.close()
+        }
+    }
+
     override fun close() {
         server.close()
         sockets.forEach { it.close() }
--- /dev/null
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/PromptPartCrashTest.kt
@@ -0,0 +1,44 @@
+package org.jujubelead.gateway.caller
+
+import org.jujubelead.platform.wire.Headers
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+@Timeout(20)
+@Tag("known-red")
+class PromptPartCrashTest {
+    /** Crashes when it begins to answer a prompt with the part `dead`. */
+    private fun engine() = FakeReplica { reply ->
+        val parts = reply.request.headers[Headers.PROMPT_PARTS.lowercase()].orEmpty().split(',')
+        reply.streamHead()
+        if (parts.any { it.startsWith("dead:") }) {
+            reply.crash()
+        } else {
+            reply.events(1..3)
+            reply.endStream()
+        }
+    }
+
+    private fun parts(list: String) = "${Headers.PROMPT_PARTS}: $list\r\n"
+
+    /** Guards against sending a prompt part that has crashed a replica to further replicas. */
+    @Test
+    fun `a prompt part that crashes replicas reaches one replica and sound prompts are served`() {
+        val replicas = List(4) { engine() }
+        GatewayFixture(*replicas.toTypedArray()).use { gateway ->
+            fun status(id: String, parts: String) =
+                gateway.connect().request("/stream/x", id = id, extra = parts(parts)).status
+
+            expectThat(status("s0", "system:40,own0:9")).isEqualTo(200)
+            val deadly = List(6) { status("d$it", "system:40,dead:7,ownd$it:9") }
+            val reached = replicas.flatMap { it.requests }.count { it.id.startsWith("d") }
+            expectThat(reached).isEqualTo(1)
+            expectThat(deadly.drop(1)).isEqualTo(List(5) { 503 })
+            expectThat(List(4) { status("s1$it", "system:40,own$it:9") }).isEqualTo(List(4) { 200 })
+        }
+        replicas.forEach { it.close() }
+    }
+}
