Keep prompts from replicas when one of their parts crashes them

Cause: failures were attributed to replicas only. Nothing remembered what the requests at a crashed replica held, each gateway sent the next one, and the request itself was repeated at a second replica.

Evidence: each of 18 crashes had exactly one attempt whose head had come without an event; these share a part that no answered request has.

Change: an attempt that loses its connection before its first event, at a replica that then refuses connections, counts against the shared parts of its prompt. An answer clears them. PromptQuarantine decides; evidence is merged between gateways by datagrams and kept in the store, compared in the call that polls the configuration, so restarted and cut-off gateways have it too. Requests with a quarantined part are refused at once, and a request that was at a crash is only repeated if its parts were answered before. A wrong quarantine ends by a single trial, recorded in the store, once refusing costs callers more than one crash.

Ruled out: ordinary crashes (no answered request has the part).

--- a/core/src/main/kotlin/org/jujubelead/core/replica/Replica.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/replica/Replica.kt
@@ -41,4 +41,9 @@
     val slots: Int,
     val draining: Boolean,
     val startedAtMillis: Long,
-)
+) {
+    val incarnation: Incarnation get() = Incarnation(id, startedAtMillis)
+}
+
+/** One run of a replica. A replica that starts again under the same id has another [startedAtMillis]. */
+public data class Incarnation(val replica: ReplicaId, val startedAtMillis: Long)
--- a/core/src/main/kotlin/org/jujubelead/core/retry/WindowedRetryBudget.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/retry/WindowedRetryBudget.kt
@@ -29,6 +29,12 @@
         expire(now)
     }
 
+    /** Number of requests that arrived within the window. */
+    public fun requestsInWindow(now: Timestamp): Int {
+        expire(now)
+        return requests.size
+    }
+
     /** Takes one retry; returns false when the budget of the window is exhausted. */
     public fun tryTake(now: Timestamp): Boolean {
         if (!available(now)) return false
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
@@ -20,12 +20,15 @@
 import org.jujubelead.gateway.peers.LoadExchange
 import org.jujubelead.gateway.peers.Peer
 import org.jujubelead.gateway.peers.PeerDirectory
+import org.jujubelead.gateway.quarantine.EvidenceReports
+import org.jujubelead.gateway.quarantine.EvidenceStore
 import org.jujubelead.gateway.settings.ProcessDescription
 import org.jujubelead.gateway.store.ReplicaRelay
 import org.jujubelead.gateway.store.StorePoller
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.GatewayMetrics
 import org.jujubelead.gateway.telemetry.LogEvent
+import org.jujubelead.gateway.telemetry.scheduleRepeating
 import java.util.concurrent.CountDownLatch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -50,13 +53,31 @@
         val interval = description.bounds.pollInterval
         val relay =
             ReplicaRelay(control.next(), description.zone, own, log, maxAge = interval * MAX_LIST_AGE_INTERVALS)
-        val follower = StorePoller(store, control.next(), log, interval, relay) { state ->
+        val evidence = EvidenceStore(
+            store = store,
+            loop = control.next(),
+            log = log,
+            onEvidence = { network.next().execute { dataPlane.prompts.merge(it) } },
+            onTrial = { key, record -> network.next().execute { dataPlane.prompts.startTrial(key, record) } },
+        )
+        val follower = StorePoller(store, control.next(), log, interval, relay, evidence) { state ->
             dataPlane.state = state
             network.next().execute(dataPlane::replicasChanged)
         }
         follower.start()
-        val exchange =
-            LoadExchange(description.zone, dataPlane::inFlightByReplica, dataPlane::onPeerLoads, dataPlane.slowRanks)
+        val reports = EvidenceReports(log, { dataPlane.prompts.records }, dataPlane.prompts::merge)
+        dataPlane.prompts.onEvidence = { records, observed ->
+            reports.onChanged()
+            control.next().execute { evidence.publish(records, observed) }
+        }
+        network.next().scheduleRepeating(TRIAL_CHECK_INTERVAL_MILLIS, "trials") { requestDueTrial(evidence) }
+        val exchange = LoadExchange(
+            description.zone,
+            dataPlane::inFlightByReplica,
+            dataPlane::onPeerLoads,
+            dataPlane.slowRanks,
+            reports,
+        )
         exchange.start(own, network)
         val self = Peer(own, description.zone)
         PeerDirectory(store, control.next(), description.instance, self) { peers ->
@@ -88,6 +109,11 @@
         stopped.await()
     }
 
+    private fun requestDueTrial(evidence: EvidenceStore) {
+        val (key, record) = dataPlane.dueTrial() ?: return
+        control.next().execute { evidence.requestTrial(key, record) }
+    }
+
     private fun sharedList(relay: ReplicaRelay): TextResponse =
         relay.sharedList()?.let { TextResponse(STATUS_OK, it) } ?: TextResponse(STATUS_UNAVAILABLE, "")
 
@@ -141,6 +167,8 @@
         /** The platform takes an instance out of rotation after two failed readiness checks, one second apart. */
         val ROTATION_DELAY: Duration = 2.8.seconds
 
+        const val TRIAL_CHECK_INTERVAL_MILLIS = 1_000L
+
         /** A shared list is at most one interval old, unless its reader has lost the store. */
         const val MAX_LIST_AGE_INTERVALS = 1.3
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
@@ -56,14 +56,27 @@
         val reachedReplica: Boolean,
     ) : AttemptEnd
 
+    /** The gateway cancelled the attempt because a part of the prompt was quarantined meanwhile. */
+    data object Quarantined : AttemptEnd {
+        override val outcome: AttemptOutcome get() = AttemptOutcome.ABANDONED
+        override val label: String get() = "quarantined"
+    }
+
     /** The gateway cancelled the attempt to move the stream off a slow replica. */
     data object Moved : AttemptEnd {
         override val outcome: AttemptOutcome get() = AttemptOutcome.ABANDONED
         override val label: String get() = "moved"
     }
 
-    /** The replica may have executed the request. [errorResponse] is its error response, if there was one. */
-    class Failed(override val label: String, val errorResponse: BufferedResponse? = null) : AttemptEnd {
+    /**
+     * The replica may have executed the request. [errorResponse] is its error response, if there was one.
+     * [connectionLost] is true if the replica ended the connection before its response was complete.
+     */
+    class Failed(
+        override val label: String,
+        val errorResponse: BufferedResponse? = null,
+        val connectionLost: Boolean = false,
+    ) : AttemptEnd {
         override val outcome: AttemptOutcome get() = AttemptOutcome.FAILED
     }
 }
@@ -216,7 +229,13 @@
 
             responseHead == null -> finish(AttemptEnd.Failed("no-answer"))
 
-            sse != null -> finish(if (sse.partial) AttemptEnd.Failed("event-cut") else AttemptEnd.Answered.StreamEnded)
+            sse != null -> finish(
+                if (sse.partial) {
+                    AttemptEnd.Failed("event-cut", connectionLost = true)
+                } else {
+                    AttemptEnd.Answered.StreamEnded
+                },
+            )
 
             else -> {
                 val response = BufferedResponse(responseHead.status, responseHead.headers, body)
@@ -247,7 +266,10 @@
                     reachedReplica = false,
                 )
 
-                else -> AttemptEnd.Failed(reason.name.lowercase().replace('_', '-'))
+                else -> AttemptEnd.Failed(
+                    reason.name.lowercase().replace('_', '-'),
+                    connectionLost = reason != TransportFailure.MALFORMED,
+                )
             },
         )
     }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/CallerConnection.kt
@@ -185,6 +185,11 @@
         exchange?.moveStreamOffSlowReplica()
     }
 
+    /** Notifies the current exchange that parts of prompts were quarantined or released. */
+    fun onQuarantineChanged() {
+        exchange?.onQuarantineChanged()
+    }
+
     /** Closes the connection if it is idle, unless its first request may still be on the way. */
     fun closeUnused(now: Timestamp) {
         val unused = requestsRead == 0 && now - idleSince < FIRST_REQUEST_DELAY
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/DataPlane.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/DataPlane.kt
@@ -12,6 +12,8 @@
 import org.jujubelead.core.dispatch.Ticket
 import org.jujubelead.core.ids.ServiceId
 import org.jujubelead.core.ids.ZoneId
+import org.jujubelead.core.quarantine.PartKey
+import org.jujubelead.core.quarantine.PartRecord
 import org.jujubelead.core.replica.Replica
 import org.jujubelead.core.replica.ReplicaId
 import org.jujubelead.core.retry.WindowedRetryBudget
@@ -21,6 +23,7 @@
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.peers.LoadReport
 import org.jujubelead.gateway.peers.SlowRankTracker
+import org.jujubelead.gateway.quarantine.QuarantineGate
 import org.jujubelead.gateway.settings.DeploymentBounds
 import org.jujubelead.gateway.store.ControlState
 import org.jujubelead.gateway.telemetry.EventLog
@@ -68,6 +71,16 @@
         connections.toList().forEach { it.onSlowRanksChanged() }
     }
 
+    /** Keeps prompts that crash replicas from them. */
+    val prompts: QuarantineGate =
+        QuarantineGate(loop, log) { connections.toList().forEach { it.onQuarantineChanged() } }
+
+    /** Part of a prompt whose trial is due, and its record if this instance makes the trial. */
+    fun dueTrial(): Pair<PartKey, PartRecord>? = prompts.dueTrial { service ->
+        val arrivals = retryBudget(service).requestsInWindow(ProcessClock.now())
+        (arrivals * (MAX_CRASH_OUTAGE / bounds.retryWindow)).toInt()
+    }
+
     val limits: CallerLimits get() = state.configuration?.limits ?: INITIAL_LIMITS
 
     /** Starts the periodic tasks. */
@@ -199,6 +212,9 @@
          */
         const val INSTANCE_RATIO_FRACTION = 0.6
 
+        /** A group of ranks is available again about this long after one of them has crashed. */
+        val MAX_CRASH_OUTAGE: Duration = 5.seconds
+
         const val DISPATCH_INTERVAL_MILLIS = 50L
         const val IDLE_CHECK_INTERVAL_MILLIS = 500L
     }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -14,12 +14,14 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
 import org.jujubelead.core.dispatch.AttemptOutcome
 import org.jujubelead.core.dispatch.PendingRequest
 import org.jujubelead.core.dispatch.Placement
 import org.jujubelead.core.dispatch.Ticket
 import org.jujubelead.core.dispatch.ticketFor
 import org.jujubelead.core.ids.ServiceId
+import org.jujubelead.core.quarantine.QuarantineDecision
 import org.jujubelead.core.replica.Replica
 import org.jujubelead.core.replica.ReplicaId
 import org.jujubelead.core.route.RequestKind
@@ -28,12 +30,14 @@
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.ByteBudget
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.quarantine.PromptGuard
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.Headers
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 internal class Exchange(
     private val dataPlane: DataPlane,
@@ -60,6 +64,8 @@
     private var attempts = 0
     private var streamStarted = false
 
+    private var guard: PromptGuard? = null
+
     /** True once an attempt has ended that the replica may have executed. */
     private var mayHaveExecuted = false
 
@@ -90,6 +96,12 @@
         deadline = request.arrivedAt + timeout
         service = route.serviceFor(request.id.hashCode())
         dataPlane.retryBudget(service).requestArrived(request.arrivedAt)
+        val promptGuard = dataPlane.prompts.guard(service, request.sharedParts)
+        guard = promptGuard
+        when (val decision = promptGuard.admit()) {
+            is QuarantineDecision.Refused -> return refuse(decision.retryAfter, "quarantined-part")
+            is QuarantineDecision.Admitted -> Unit
+        }
         val remaining = deadline - ProcessClock.now()
         deadlineTimer =
             dataPlane.loop.schedule(
@@ -101,6 +113,7 @@
     }
 
     private fun requestReplica() {
+        if (!streamStarted && guard?.mustStop == true) return onNotPlaced(RETRY_AFTER_QUARANTINED, "quarantined-part")
         val pending = PendingRequest(
             route = route,
             priority = workspace?.priority ?: route.priority,
@@ -160,7 +173,7 @@
         responseTimer = dataPlane.loop.schedule(
             {
                 val silent = attempt === watched && !watched.responseStarted
-                if (!finished && silent && mayRetry()) {
+                if (!finished && silent && mayRetry) {
                     watched.cancel()
                     onAttemptEnded(watched, AttemptEnd.Failed("silent"))
                 }
@@ -175,13 +188,29 @@
         val a = attempt ?: return
         val now = ProcessClock.now()
         if (finished || !streamStarted || !route.kind.repeatable) return
-        if (!mayRetry() || !dataPlane.retryBudget(service).available(now)) return
+        if (!mayRetry || !dataPlane.retryBudget(service).available(now)) return
         if (!dataPlane.queue(service).shouldMoveStream(a.replica.id, triedReplicas, now)) return
         a.cancel()
         onAttemptEnded(a, AttemptEnd.Moved)
     }
 
-    private fun mayRetry(): Boolean = attempts < route.maxAttempts && deadline - ProcessClock.now() > MIN_ATTEMPT_TIME
+    /** Ends the request if it has not got an answer and a part of its prompt is quarantined now. */
+    fun onQuarantineChanged() {
+        if (finished || streamStarted || guard?.mustStop != true) return
+        val a = attempt
+        if (a != null) {
+            a.cancel()
+            onAttemptEnded(a, AttemptEnd.Quarantined)
+        } else {
+            ticket?.let {
+                dataPlane.withdraw(service, it)
+                ticket = null
+                onNotPlaced(RETRY_AFTER_QUARANTINED, "quarantined-part")
+            }
+        }
+    }
+
+    private val mayRetry: Boolean get() = attempts < route.maxAttempts && deadline - ProcessClock.now() > MIN_ATTEMPT_TIME
 
     /** Called once by each attempt when it ends. */
     fun onAttemptEnded(a: Attempt, end: AttemptEnd) {
@@ -210,14 +239,31 @@
             is AttemptEnd.Failed -> {
                 mayHaveExecuted = true
                 errorResponse = end.errorResponse ?: errorResponse
-                if (!(route.kind.repeatable && tryRetry(reachedReplica = true))) failWithUnknownResult(end.label)
+                val unanswered = guard.takeIf { end.connectionLost && !streamStarted }
+                if (unanswered != null) {
+                    unanswered.onConnectionLost(a.replica, dataPlane.pool(a.replica), a.responseStarted) { mayRepeat ->
+                        if (!finished) retryOrFail(end, mayRepeat)
+                    }
+                } else {
+                    retryOrFail(end)
+                }
+            }
+
+            is AttemptEnd.Quarantined -> {
+                mayHaveExecuted = true
+                failWithUnknownResult(end.label)
             }
         }
     }
 
+    private fun retryOrFail(end: AttemptEnd.Failed, mayRepeat: Boolean = true) {
+        val retrying = mayRepeat && route.kind.repeatable && tryRetry(reachedReplica = true)
+        if (!retrying) failWithUnknownResult(end.label)
+    }
+
     private fun tryRetry(reachedReplica: Boolean): Boolean {
         val allowed = if (reachedReplica) {
-            mayRetry()
+            mayRetry
         } else {
             attempts < MAX_UNREACHABLE_ATTEMPTS &&
                 deadline - ProcessClock.now() > MIN_ATTEMPT_TIME
@@ -243,7 +289,10 @@
 
     private fun onAnswered(a: Attempt, end: AttemptEnd.Answered) {
         when (end) {
-            is AttemptEnd.Answered.Buffered -> respond(end.response.status, end.response.headers, end.response.body)
+            is AttemptEnd.Answered.Buffered -> {
+                if (end.response.status.codeClass() == HttpStatusClass.SUCCESS) guard?.recordAnswered()
+                respond(end.response.status, end.response.headers, end.response.body)
+            }
 
             is AttemptEnd.Answered.StreamEnded -> {
                 if (!streamStarted) startStream(a.streamHead)
@@ -268,6 +317,7 @@
             bytes.release()
             return
         }
+        if (a.eventCount == 1) guard?.recordAnswered()
         if (!streamStarted) startStream(a.streamHead)
         val maxGap = (route.kind as? RequestKind.Stream)?.maxEventGap
         val gap = a.gapSinceLastEvent()
@@ -308,7 +358,7 @@
 
     /** Responds with status 503 and the time after which to retry: the request was not executed. */
     private fun refuse(retryAfter: Duration, reason: String, close: Boolean = false) {
-        val headers = localHeaders()
+        val headers = localHeaders(request)
         headers[HttpHeaderNames.RETRY_AFTER] = "%.3f".format(retryAfter.inWholeMilliseconds / MILLIS_PER_SECOND)
         respondLocally(LogEvent.REQUEST_REFUSED, HttpResponseStatus.SERVICE_UNAVAILABLE, reason, headers, close)
     }
@@ -317,7 +367,7 @@
         event: LogEvent,
         status: HttpResponseStatus,
         reason: String,
-        headers: HttpHeaders = localHeaders(),
+        headers: HttpHeaders = localHeaders(request),
         close: Boolean = false,
     ) {
         logEnd(event, status.code(), reason)
@@ -331,10 +381,6 @@
         caller.abort(request)
     }
 
-    private fun localHeaders(): HttpHeaders = DefaultHttpHeaders().apply {
-        request.id?.let { set(Headers.REQUEST_ID, it.value) }
-    }
-
     private fun logEnd(event: LogEvent, status: Int, reason: String) {
         val queueLength = if (::route.isInitialized) dataPlane.queue(service).waitingCount else null
         log.ended(event, status, reason, attempts, queueLength)
@@ -380,6 +426,9 @@
         /** Short, since the connection is closed and another instance can serve the caller at once. */
         val RETRY_AFTER_UNDECIDED: Duration = 50.milliseconds
         val RETRY_AFTER_NO_CAPACITY: Duration = 150.milliseconds
+
+        /** The part is tried again after a minute or later. */
+        val RETRY_AFTER_QUARANTINED: Duration = 60.seconds
         val MAX_IDLE: Duration = 10_000.milliseconds
 
         /**
@@ -389,3 +438,8 @@
         val MAX_IDLE_AT_MOST_ONCE: Duration = 3_000.milliseconds
     }
 }
+
+/** Headers of a response that no replica has sent. */
+private fun localHeaders(request: InboundRequest): HttpHeaders = DefaultHttpHeaders().apply {
+    request.id?.let { set(Headers.REQUEST_ID, it.value) }
+}
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/RequestLog.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/RequestLog.kt
@@ -31,6 +31,7 @@
         "configurationAgeMillis" to
             dataPlane.state.age(ProcessClock.read()).takeIf { it.isFinite() }?.inWholeMilliseconds,
         "waiting" to queueLength,
+        "parts" to sharedParts,
     )
 
     fun answered(status: Int, replica: ReplicaId?, attempts: Int) = dataPlane.log.log(
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/ConnectionPool.kt
@@ -11,10 +11,12 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
 import org.jujubelead.core.replica.Endpoint
+import java.net.ConnectException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -44,7 +46,7 @@
             if (c.open && now - c.idleSince < limit) return onConnection(c)
             c.close()
         }
-        connect(onConnection)
+        connect { connection, _ -> onConnection(connection) }
     }
 
     /** Closes connections that have been idle for longer than [limit]. */
@@ -64,7 +66,13 @@
         idle.clear()
     }
 
-    private fun connect(onConnection: (HttpConnection?) -> Unit) {
+    /** Opens a connection, which is then idle; passes to [done] whether the endpoint refused it. */
+    public fun testConnection(done: (refused: Boolean) -> Unit): Unit = connect { connection, cause ->
+        connection?.let(::returnToPool)
+        done(cause is ConnectException && cause !is ConnectTimeoutException)
+    }
+
+    private fun connect(onResult: (HttpConnection?, cause: Throwable?) -> Unit) {
         opened++
         var connection: HttpConnection? = null
         Bootstrap().group(loop).channel(NioSocketChannel::class.java)
@@ -78,7 +86,7 @@
                 }
             })
             .connect(endpoint.host, endpoint.port)
-            .addListener { done -> onConnection(if (done.isSuccess) connection else null) }
+            .addListener { done -> onResult(if (done.isSuccess) connection else null, done.cause()) }
     }
 
     /** Returns a connection on which nothing was sent. */
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/LoadExchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/LoadExchange.kt
@@ -9,6 +9,7 @@
 package org.jujubelead.gateway.peers
 
 import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
@@ -19,6 +20,7 @@
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.quarantine.EvidenceReports
 import org.jujubelead.gateway.telemetry.scheduleRepeating
 import java.net.InetSocketAddress
 import kotlin.random.Random
@@ -29,12 +31,14 @@
  * @param loads in-flight requests of this gateway, by hash of the replica.
  * @param onPeerLoads receives the sum of the loads of all other gateways, by hash of the replica.
  * @param slowRanks receives the reports of group coordinators, which arrive at the same port.
+ * @param evidence exchanges the evidence against prompt parts in datagrams of its own.
  */
 internal class LoadExchange(
     private val zone: ZoneId,
     private val loads: () -> Map<Int, Int>,
     private val onPeerLoads: (Map<Int, Int>) -> Unit,
     private val slowRanks: SlowRankTracker,
+    private val evidence: EvidenceReports,
 ) {
     private class Received(val report: LoadReport, val at: Timestamp)
 
@@ -53,11 +57,14 @@
             .handler(object : SimpleChannelInboundHandler<DatagramPacket>() {
                 override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) {
                     val bytes = packet.content()
-                    val group = bytes.isReadable && bytes.getByte(bytes.readerIndex()).toInt() == SlowRankReport.FORMAT
-                    if (group) {
-                        SlowRankReport.decode(bytes)?.let { slowRanks.onReport(it, ProcessClock.now()) }
-                    } else {
-                        LoadReport.decode(bytes)?.let(::received)
+                    if (!bytes.isReadable) return
+                    when (bytes.getByte(bytes.readerIndex()).toInt()) {
+                        SlowRankReport.FORMAT ->
+                            SlowRankReport.decode(bytes)?.let { slowRanks.onReport(it, ProcessClock.now()) }
+
+                        EvidenceReports.FORMAT -> evidence.onDatagram(bytes)
+
+                        else -> LoadReport.decode(bytes)?.let(::received)
                     }
                 }
 
@@ -89,16 +96,25 @@
         if (received.values.removeIf { now - it.at > EXPIRY }) notifyPeerLoads()
         val current = loads()
         val fullReport = ticks++ % TICKS_PER_FULL_REPORT == 0
+        evidence.next(fullReport)?.let { datagram ->
+            for (p in peers) send(datagram.retainedDuplicate(), p)
+            datagram.release()
+            channel.flush()
+        }
         if (current == lastSent && !fullReport) return
         lastSent = current
         val report = LoadReport(sender, ++sequence, current)
         for (p in peers) {
             if (p.zone != zone && !fullReport) continue
-            channel.write(DatagramPacket(report.encode(), InetSocketAddress(p.endpoint.host, p.endpoint.port)))
+            send(report.encode(), p)
         }
         channel.flush()
     }
 
+    private fun send(datagram: ByteBuf, to: Peer) {
+        channel.write(DatagramPacket(datagram, InetSocketAddress(to.endpoint.host, to.endpoint.port)))
+    }
+
     private companion object {
         /** Several reports per request that one gateway places on one replica. */
         const val TICK_MILLIS = 60L
--- /dev/null
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceCodec.kt
@@ -0,0 +1,74 @@
+/** JSON format of the evidence against prompt parts, in the store and in reports between gateways. */
+package org.jujubelead.gateway.quarantine
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.jujubelead.core.ids.PromptPartId
+import org.jujubelead.core.ids.ServiceId
+import org.jujubelead.core.quarantine.CrashSign
+import org.jujubelead.core.quarantine.PartKey
+import org.jujubelead.core.quarantine.PartRecord
+import org.jujubelead.core.replica.Incarnation
+import org.jujubelead.core.replica.ReplicaId
+
+@Serializable
+private data class CrashEntry(
+    val replica: String,
+    val startedAtMillis: Long,
+    val sign: CrashSign,
+    val cleared: Boolean = false,
+)
+
+@Serializable
+private data class PartEntry(
+    val service: String,
+    val part: String,
+    val crashes: List<CrashEntry>,
+    val vouched: Boolean = false,
+    val trials: Int = 0,
+    val nextTrialMillis: Long,
+    val expiresMillis: Long,
+)
+
+private val json = Json { ignoreUnknownKeys = true }
+
+internal fun encodeEvidence(records: Map<PartKey, PartRecord>): String = json.encodeToString(
+    records.map { (key, record) ->
+        PartEntry(
+            service = key.service.value,
+            part = key.part.value,
+            crashes = record.crashes.map { (crash, sign) ->
+                CrashEntry(crash.replica.value, crash.startedAtMillis, sign, crash in record.cleared)
+            },
+            vouched = record.vouched,
+            trials = record.trials,
+            nextTrialMillis = record.nextTrialMillis,
+            expiresMillis = record.expiresMillis,
+        )
+    },
+)
+
+/** Returns the reason if [text] is not such evidence. */
+internal fun decodeEvidence(text: String): Result<Map<PartKey, PartRecord>, String> = try {
+    Ok(json.decodeFromString<List<PartEntry>>(text).associate { it.toRecord() })
+} catch (e: SerializationException) {
+    Err(e.message.orEmpty())
+}
+
+private fun PartEntry.toRecord(): Pair<PartKey, PartRecord> {
+    val cleared = crashes.filter { it.cleared }.mapTo(HashSet()) { it.incarnation() }
+    return PartKey(ServiceId(service), PromptPartId(part)) to PartRecord(
+        crashes = crashes.associate { it.incarnation() to it.sign },
+        cleared = cleared,
+        vouched = vouched,
+        trials = trials,
+        nextTrialMillis = nextTrialMillis,
+        expiresMillis = expiresMillis,
+    )
+}
+
+private fun CrashEntry.incarnation() = Incarnation(ReplicaId(replica), startedAtMillis)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
@@ -0,0 +1,160 @@
+/**
+ * Keeps the evidence against prompt parts in the store, for gateways that start later or that no report reaches.
+ *
+ * The revision of the evidence is compared in the same call as that of the configuration, so reading it takes no calls
+ * of its own. Writes replace a known revision with the merged evidence; after a conflict they are repeated. A trial of
+ * a quarantined part is made by the gateway whose write recorded it. Runs on the control-plane event loop.
+ */
+package org.jujubelead.gateway.quarantine
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.netty.channel.EventLoop
+import org.jujubelead.core.ids.Revision
+import org.jujubelead.core.quarantine.PartKey
+import org.jujubelead.core.quarantine.PartRecord
+import org.jujubelead.gateway.net.HttpClient
+import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.net.TextResponse
+import org.jujubelead.gateway.telemetry.EventLog
+import org.jujubelead.gateway.telemetry.LogEvent
+import org.jujubelead.platform.wire.StoreRequests
+import org.jujubelead.platform.wire.StoredValue
+import org.jujubelead.platform.wire.decodeConflict
+import org.jujubelead.platform.wire.decodeWriteRevision
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * @param onEvidence receives evidence that other gateways have stored.
+ * @param onTrial called when a trial of a part was recorded for this gateway.
+ */
+internal class EvidenceStore(
+    private val store: HttpClient,
+    private val loop: EventLoop,
+    private val log: EventLog,
+    private val onEvidence: (Map<PartKey, PartRecord>) -> Unit,
+    private val onTrial: (PartKey, PartRecord) -> Unit,
+) {
+    private var stored: Map<PartKey, PartRecord> = emptyMap()
+    private var local: Map<PartKey, PartRecord> = emptyMap()
+    private var trial: Pair<PartKey, PartRecord>? = null
+    private var writing = false
+
+    /** Revision of the stored evidence that this gateway knows; null if there is none. */
+    var revision: Revision? = null
+        private set
+
+    /** Applies a value that was read from the store. */
+    fun onStored(value: StoredValue) {
+        if (value.revision <= (revision ?: Revision(0))) return
+        revision = value.revision
+        stored = decodeEvidence(value.text).getOrElse {
+            log.log(LogEvent.EVIDENCE_UNREADABLE, "from" to "store", "detail" to it)
+            emptyMap()
+        }
+        onEvidence(stored)
+        writeIfNeeded()
+    }
+
+    /**
+     * Stores what [records] add to the stored evidence: at once if this gateway [observed] it, else only if the gateway
+     * that did has not stored it for a while.
+     */
+    fun publish(records: Map<PartKey, PartRecord>, observed: Boolean) {
+        local = records
+        if (observed) return writeIfNeeded()
+        loop.schedule(::writeIfNeeded, FOREIGN_EVIDENCE_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    /** Records a trial of the part of [key]; this gateway makes it unless another one was faster. */
+    fun requestTrial(key: PartKey, record: PartRecord) {
+        trial = key to record
+        writeIfNeeded()
+    }
+
+    private fun writeIfNeeded() {
+        val now = ProcessClock.read().wallMillis
+        val current = (stored + local.mapValues { (key, record) -> stored[key]?.merge(record) ?: record })
+            .filterValues { now < it.expiresMillis }
+        val requested = trial
+        val missing = local.any { (key, record) -> addsEvidence(record, stored[key]) }
+        if (writing || (!missing && requested == null)) return
+        writing = true
+        val next = if (requested == null) {
+            current
+        } else {
+            current + (requested.first to (current[requested.first]?.merge(requested.second) ?: requested.second))
+        }
+        write(next, requested)
+    }
+
+    /** Suspicions that never led to a quarantine are stored, but not that they were cleared. */
+    private fun addsEvidence(record: PartRecord, known: PartRecord?): Boolean {
+        if (!record.suspected && known?.quarantined != true) return false
+        return known == null || !known.crashes.keys.containsAll(record.crashes.keys) ||
+            known.merge(record).quarantined != known.quarantined
+    }
+
+    private fun write(next: Map<PartKey, PartRecord>, requested: Pair<PartKey, PartRecord>?) {
+        val body = StoreRequests.replace(KEY, revision, encodeEvidence(next))
+        store.post(StoreRequests.TRANSACTION_PATH, body) { result ->
+            trial = null
+            result.fold({ onWriteResponse(it, next, requested) }, { notStored(it.detail) })
+            val wait = if (result.get()?.status == STATUS_OK) MIN_WRITE_INTERVAL else RETRY_INTERVAL
+            loop.schedule(::writeAgain, wait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        }
+    }
+
+    private fun writeAgain() {
+        writing = false
+        writeIfNeeded()
+    }
+
+    private fun onWriteResponse(
+        answer: TextResponse,
+        next: Map<PartKey, PartRecord>,
+        requested: Pair<PartKey, PartRecord>?,
+    ) {
+        when (answer.status) {
+            STATUS_OK -> decodeWriteRevision(answer.body)
+                .onSuccess { onWritten(it, next, requested) }
+                .onFailure { notStored(it.detail) }
+
+            STATUS_CONFLICT -> decodeConflict(answer.body)
+                .onSuccess { items -> items[KEY]?.let(::onStored) }
+                .onFailure { notStored(it.detail) }
+
+            else -> notStored("status ${answer.status}")
+        }
+    }
+
+    private fun notStored(detail: String) = log.log(LogEvent.EVIDENCE_NOT_STORED, "detail" to detail)
+
+    private fun onWritten(written: Revision, next: Map<PartKey, PartRecord>, requested: Pair<PartKey, PartRecord>?) {
+        if (written <= (revision ?: Revision(0))) return
+        revision = written
+        stored = next
+        requested?.let { (key, _) -> onTrial(key, next.getValue(key)) }
+    }
+
+    companion object {
+        const val KEY: String = "quarantine/prompt-parts"
+
+        /** Limits the writes while evidence arrives in pieces. */
+        private val MIN_WRITE_INTERVAL: Duration = 300.milliseconds
+
+        /** Limits the writes while the store fails or other gateways write. */
+        private val RETRY_INTERVAL: Duration = 700.milliseconds
+
+        /** Longer than the observer needs for a write and this gateway for the next poll. */
+        private val FOREIGN_EVIDENCE_DELAY: Duration = 3.seconds
+        private const val STATUS_OK = 200
+        private const val STATUS_CONFLICT = 412
+    }
+}
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
@@ -7,35 +7,34 @@
  */
 package org.jujubelead.gateway.store
 
-import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
 import io.netty.channel.EventLoop
 import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
-import org.jujubelead.gateway.net.CallFailure
 import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.TextResponse
+import org.jujubelead.gateway.quarantine.EvidenceStore
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.StoreRequests
 import org.jujubelead.platform.wire.StoredValue
 import org.jujubelead.platform.wire.decodeConfiguration
 import org.jujubelead.platform.wire.decodeConflict
-import org.jujubelead.platform.wire.decodeStoredValue
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** @param onChange receives each new state. */
-public class StorePoller(
+internal class StorePoller(
     private val store: HttpClient,
     private val loop: EventLoop,
     private val log: EventLog,
     private val pollInterval: Duration,
     relay: ReplicaRelay,
+    private val evidence: EvidenceStore,
     private val onChange: (ControlState) -> Unit,
 ) {
     private var state = ControlState()
@@ -61,36 +60,24 @@
     private fun pollConfiguration() {
         val sentAt = ProcessClock.read()
         val known = state.configuration?.revision
-        val done = { result: Result<TextResponse, CallFailure> ->
+        val revisions = mapOf(StoreRequests.CONFIGURATION_KEY to known, EvidenceStore.KEY to evidence.revision)
+        store.post(StoreRequests.TRANSACTION_PATH, StoreRequests.compareRevisions(revisions)) { result ->
             result.fold({ onConfigurationResponse(it, known, sentAt) }, { onStoreLost(it.detail) })
             schedulePoll(sentAt.monotonic, state.configuration != null, ::pollConfiguration)
         }
-        if (known == null) {
-            store.get(StoreRequests.CONFIGURATION_PATH, done)
-        } else {
-            store.post(
-                StoreRequests.TRANSACTION_PATH,
-                StoreRequests.compareRevision(StoreRequests.CONFIGURATION_KEY, known),
-                done = done,
-            )
-        }
     }
 
     private fun onConfigurationResponse(answer: TextResponse, known: Revision?, sentAt: ClockReading) {
         when {
             answer.status == STATUS_OK && known != null -> onConfirmed(sentAt)
 
-            answer.status == STATUS_OK -> apply(
-                decodeStoredValue(answer.body).getOrElse {
-                    return unreadable(it.detail)
-                },
-                sentAt,
-            )
-
-            answer.status == STATUS_CONFLICT ->
-                decodeConflict(answer.body).getOrElse { return unreadable(it.detail) }?.let { apply(it, sentAt) }
+            answer.status == STATUS_OK -> onStoreRegained()
 
-            answer.status == STATUS_NOT_FOUND -> onStoreRegained()
+            answer.status == STATUS_CONFLICT -> {
+                val current = decodeConflict(answer.body).getOrElse { return unreadable(it.detail) }
+                current[EvidenceStore.KEY]?.let(evidence::onStored)
+                current[StoreRequests.CONFIGURATION_KEY]?.let { apply(it, sentAt) }
+            }
 
             else -> onStoreLost("status ${answer.status}")
         }
@@ -99,7 +86,8 @@
     private fun apply(stored: StoredValue, sentAt: ClockReading) {
         onStoreRegained()
         val known = state.configuration
-        if (known != null && stored.revision <= known.revision) return
+        if (known != null && stored.revision == known.revision) return onConfirmed(sentAt)
+        if (known != null && stored.revision < known.revision) return
         val read = decodeConfiguration(stored.text, stored.revision).getOrElse { return unreadable(it.detail) }
         log.log(
             LogEvent.CONFIGURATION_APPLIED,
@@ -144,7 +132,6 @@
         /** Minimum delay between polls, so that a failing store is not polled in a tight loop. */
         val MIN_POLL_DELAY: Duration = 50.milliseconds
         const val STATUS_OK = 200
-        const val STATUS_NOT_FOUND = 404
         const val STATUS_CONFLICT = 412
     }
 }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/PromptPartCrashTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/PromptPartCrashTest.kt
@@ -1,14 +1,12 @@
 package org.jujubelead.gateway.caller
 
 import org.jujubelead.platform.wire.Headers
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 
 @Timeout(20)
-@Tag("known-red")
 class PromptPartCrashTest {
     /** Crashes when it begins to answer a prompt with the part `dead`. */
     private fun engine() = FakeReplica { reply ->
