--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -210,7 +210,8 @@
         }
     }
 
-    private val mayRetry: Boolean get() = attempts < route.maxAttempts && deadline - ProcessClock.now() > MIN_ATTEMPT_TIME
+    private val mayRetry: Boolean get() = attempts < route.maxAttempts &&
+        deadline - ProcessClock.now() > MIN_ATTEMPT_TIME
 
     /** Called once by each attempt when it ends. */
     fun onAttemptEnded(a: Attempt, end: AttemptEnd) {
