Let the soak crash replicas by a part of prompts

The soak now has a part that crashes the simulated ranks from some moment on; before, it is answered. Its check: from 3 s after the fifth crash, at most three requests with it reach replicas.

SoakChecksTest shows the check a broken history.

--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/Deployment.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/Deployment.kt
@@ -92,6 +92,9 @@
     /** Sets the probability with which each replica injects a fault into a response. */
     fun setFaultProbability(probability: Double) = (ranks + plain).forEach { it.faultProbability = probability }
 
+    /** Sets the part of a prompt that crashes the replicas of the model; null for none. */
+    fun setDeadlyPart(part: String?) = ranks.forEach { it.deadlyPart = part }
+
     /** Writes a configuration and returns once the store has confirmed it. */
     @Synchronized
     fun configure(extraRoute: Boolean, revoked: Boolean) {
@@ -151,6 +154,9 @@
         const val REVOCATION_MILLIS = 5_000L
         const val CONFIGURATION_MILLIS = 2_000L
         const val RETRY_SLACK = 100
+
+        /** Part of some prompts. It crashes replicas while the fault is active. */
+        const val DEADLY_PART = "deadly"
         private const val MODEL = "model"
         private const val PLAIN = "plain"
         private const val JAR = "target/jujubelead.jar"
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/Main.kt
@@ -23,7 +23,7 @@
 
     @Option(
         name = "--break",
-        usage = "inject a violation to verify that its check fails: answers, once, refusals or maps",
+        usage = "inject a violation to verify that its check fails: answers, once, refusals, maps or prompts",
     )
     var violation: String? = null
 }
@@ -66,7 +66,7 @@
 
 /** Injects a violation into the history, to verify that the corresponding check detects it. */
 private fun SoakHistory.withViolation(how: String?): SoakHistory {
-    fun Call.with(end: Outcome) = Call(id, path, key, gateway, incarnation, sentAt, endedAt, end)
+    fun Call.with(end: Outcome) = Call(id, path, key, gateway, incarnation, sentAt, endedAt, end, deadly)
     val once = calls.first { it.path == "/once/" && (it.end as? Outcome.Answer)?.status == OK }
     return when (how) {
         null -> this
@@ -74,6 +74,7 @@
         "once" -> copy(runs = runs + runs.first { it.request == once.id })
         "refusals" -> copy(calls = calls.map { if (it === once) it.with(Outcome.Answer(REFUSED, "", true)) else it })
         "maps" -> copy(mixedPasses = 1)
+        "prompts" -> copy(crashes = calls.filter { it.deadly }.map { it.sentAt - NANOS_PER_MINUTE }.take(CRASH_LIMIT))
         else -> throw IllegalArgumentException("unknown value of --break: \"$how\"")
     }
 }
@@ -82,7 +83,8 @@
     calls: List<Call> = this.calls,
     runs: List<org.jujubelead.platform.standins.Execution> = this.runs,
     mixedPasses: Int = this.mixedPasses,
-) = SoakHistory(calls, runs, arrivals, faults, revokedAt, routeAddedAt, mixedPasses, heldMillis, faultEnd)
+    crashes: List<Long> = this.crashes,
+) = SoakHistory(calls, runs, arrivals, crashes, faults, revokedAt, routeAddedAt, mixedPasses, heldMillis, faultEnd)
 
 /** One run: start-up, fault injection, recovery, shutdown. The process logs are kept in target/soak. */
 private class SoakRun(private val seed: Long, private val size: DeploymentSize) {
@@ -101,7 +103,10 @@
                 calls = callers.calls.toList(),
                 runs = deployment.executionLog.runs.toList(),
                 arrivals = deployment.executionLog.arrivals,
-                faults = faults.records.toList(),
+                crashes = deployment.executionLog.crashes.toList(),
+                faults = faults.records + deployment.executionLog.crashes.map {
+                    FaultRecord("replica crashed", gateway = null, from = it, to = it, interrupts = true)
+                },
                 revokedAt = faults.revokedAt,
                 routeAddedAt = faults.routeAddedAt,
                 mixedPasses = deployment.group.mixedPasses,
@@ -117,6 +122,7 @@
 private const val OK = 200
 private const val REFUSED = 503
 private const val MAX_PRINTED = 8
+private const val CRASH_LIMIT = 5
 private const val NANOS_PER_MINUTE = 60_000_000_000L
 private const val STARTUP_MILLIS = 3_000L
 private const val FAULT_PHASE_MILLIS = 12_000L
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakCallers.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakCallers.kt
@@ -30,6 +30,7 @@
 /**
  * @property gateway index of the gateway.
  * @property incarnation number of starts of the gateway process when the request was sent.
+ * @property deadly true if its prompt has the part that may crash replicas.
  * @property sentAt `System.nanoTime()` before the connection was opened or reused.
  */
 internal class Call(
@@ -41,6 +42,7 @@
     val sentAt: Long,
     val endedAt: Long,
     val end: Outcome,
+    val deadly: Boolean,
 )
 
 internal class SoakCallers(private val deployment: Deployment, private val seed: Long, private val callers: Int) {
@@ -75,8 +77,11 @@
             val incarnation = deployment.gateways[gateway].incarnation
             val sentAt = System.nanoTime()
             connection = connection ?: connect(gateway)
-            val end = connection?.let { exchange(it, id, path, key) } ?: Outcome.NotSent
-            calls += Call(id, path, key, gateway, incarnation, sentAt, System.nanoTime(), end)
+            val deadly = path == "/stream/" && random.nextInt(DEADLY_PART_ONE_IN) == 0
+            val parts = "system-${random.nextInt(SYSTEM_PROMPTS)}:40," +
+                (if (deadly) "${Deployment.DEADLY_PART}:60," else "") + "$id:80"
+            val end = connection?.let { exchange(it, id, path, key, parts) } ?: Outcome.NotSent
+            calls += Call(id, path, key, gateway, incarnation, sentAt, System.nanoTime(), end, deadly)
             val reuse = end is Outcome.Answer && end.complete && !end.closing && random.nextInt(RECONNECT_ONE_IN) != 0
             if (!reuse) {
                 connection?.socket?.close()
@@ -98,11 +103,12 @@
         null // The gateway is down; the call is recorded as not sent.
     }
 
-    private fun exchange(on: Connection, id: String, path: String, key: String): Outcome = try {
+    private fun exchange(on: Connection, id: String, path: String, key: String, parts: String): Outcome = try {
         on.socket.getOutputStream().write(
             (
                 "POST ${path}x HTTP/1.1\r\nHost: ${Deployment.HOST}\r\n${Headers.REQUEST_ID}: $id\r\n" +
                     "${Headers.DEADLINE}: $DEADLINE_MILLIS\r\nAuthorization: ${Headers.AUTH_SCHEME} $key\r\n" +
+                    "${Headers.PROMPT_PARTS}: $parts\r\n" +
                     "Content-Length: ${id.length}\r\n\r\n$id"
                 ).toByteArray(),
         )
@@ -146,6 +152,8 @@
         const val READ_TIMEOUT_MS = 6_000
         const val CONNECT_TIMEOUT_MS = 1_000
         const val MAX_PAUSE_MILLIS = 120L
+        const val DEADLY_PART_ONE_IN = 12
+        const val SYSTEM_PROMPTS = 5
         const val REVOKED_KEY_ONE_IN = 6
         const val RECONNECT_ONE_IN = 10
         const val JOIN_TIMEOUT_MILLIS = 8_000L
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakChecks.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakChecks.kt
@@ -10,12 +10,14 @@
 /**
  * The recorded events of one run.
  *
+ * @property crashes times at which a prompt part crashed a replica.
  * @property faultEnd `System.nanoTime()` after the last fault had ended.
  */
 internal class SoakHistory(
     val calls: List<Call>,
     val runs: List<Execution>,
     val arrivals: Map<String, List<Long>>,
+    val crashes: List<Long>,
     val faults: List<FaultRecord>,
     val revokedAt: Long,
     val routeAddedAt: Long,
@@ -27,7 +29,8 @@
 internal fun findViolations(history: SoakHistory): List<Violation> = with(history) {
     val byId = runs.groupBy { it.request }
     checkBodies(calls) + checkRepeats(calls, byId) + checkRefusals(calls, byId) + checkRevocation(this, byId) +
-        checkInterrupts(this, byId) + checkConfig(this) + checkMaps(this) + checkRetries(this) + checkRecovery(this)
+        checkInterrupts(this, byId) + checkConfig(this) + checkMaps(this) + checkRetries(this) + checkRecovery(this) +
+        checkDeadlyPrompts(this)
 }
 
 private fun checkBodies(calls: List<Call>) = calls.mapNotNull { c ->
@@ -97,9 +100,23 @@
     }.take(1)
 }
 
+/** From 3 s after the fifth crash by a prompt part, few requests with it reach replicas. */
+private fun checkDeadlyPrompts(history: SoakHistory): List<Violation> {
+    val fifth = history.crashes.sorted().getOrNull(MAX_CRASHES - 1) ?: return emptyList()
+    val late = history.calls.filter { it.deadly }
+        .sumOf { c -> history.arrivals[c.id].orEmpty().count { it > fifth + STABLE_NS } }
+    if (late <= MAX_LATE_DEADLY) return emptyList()
+    return listOf(
+        Violation("deadly prompts", "$late reached replicas after the fifth of ${history.crashes.size} crashes"),
+    )
+}
+
 /** From 5 s after the last fault, at least 90 % of the requests with a valid key get a complete response. */
 private fun checkRecovery(history: SoakHistory): List<Violation> {
-    val late = history.calls.filter { it.sentAt > history.faultEnd + RECOVERY_NS && it.key == Deployment.VALID_KEY }
+    val late = history.calls.filter {
+        it.sentAt > history.faultEnd + RECOVERY_NS && it.key == Deployment.VALID_KEY &&
+            !it.deadly
+    }
     val good = late.count { (it.end as? Outcome.Answer)?.let { a -> a.status == OK && a.complete } ?: false }
     return listOfNotNull(
         Violation("recovery", "$good of ${late.size} served after the faults").takeIf { good < late.size * MIN_SERVED },
@@ -117,6 +134,9 @@
 private const val BUDGET_WINDOW_NS = 10_000 * NANOS_PER_MILLI
 private const val RETRY_RATIO = 0.2
 private const val MIN_SERVED = 0.9
+private const val MAX_CRASHES = 5
+private const val MAX_LATE_DEADLY = 3
+private const val STABLE_NS = 3_000 * NANOS_PER_MILLI
 
 /** A hold ends within a few status reports, so a map change still in progress at the end may hold the group briefly. */
 private const val MAX_HELD_MILLIS = 1_500L
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakFaults.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakFaults.kt
@@ -31,6 +31,10 @@
     var routeAddedAt = 0L
         private set
 
+    /** `System.nanoTime()` from which one part of prompts crashes replicas; 0 until then. */
+    @Volatile
+    private var deadlySince = 0L
+
     /** Injects faults for [millis] and returns once all of them have ended. */
     fun run(millis: Long) {
         val until = System.nanoTime() + millis * NANOS_PER_MILLI
@@ -58,6 +62,7 @@
         REPLICA_CONNECTION,
         RESPONSES_CORRUPTED,
         ORDERS_DELAYED,
+        PROMPTS_DEADLY,
         KEY_REVOKED,
         ROUTE_ADDED,
     }
@@ -97,6 +102,8 @@
 
             Kind.ORDERS_DELAYED -> delayOrders(millis)
 
+            Kind.PROMPTS_DEADLY -> if (deadlySince == 0L) withoutGateway("prompts deadly", ::makePromptsDeadly)
+
             Kind.KEY_REVOKED -> if (revokedAt == 0L) withoutGateway("key revoked", ::revoke)
 
             Kind.ROUTE_ADDED -> if (routeAddedAt == 0L) withoutGateway("route added", ::addRoute)
@@ -124,6 +131,12 @@
         deployment.group.lateOrderProbability = 0.0
     }
 
+    /** Lasts until the end of the run, so that a prompt part that was forgotten crashes replicas again. */
+    private fun makePromptsDeadly() {
+        deadlySince = System.nanoTime()
+        deployment.setDeadlyPart(Deployment.DEADLY_PART)
+    }
+
     @Synchronized
     private fun revoke() {
         if (revokedAt != 0L) return
--- a/bench/src/test/kotlin/org/jujubelead/bench/soak/SoakChecksTest.kt
+++ b/bench/src/test/kotlin/org/jujubelead/bench/soak/SoakChecksTest.kt
@@ -18,7 +18,8 @@
         key: String = Deployment.VALID_KEY,
         sentAt: Long = faultEnd + 6 * second,
         end: Outcome = Outcome.Answer(200, "answer of $id", complete = true),
-    ) = Call(id, path, key, gateway = 0, incarnation = 1, sentAt = sentAt, endedAt = sentAt + second / 10, end = end)
+        deadly: Boolean = false,
+    ) = Call(id, path, key, gateway = 0, incarnation = 1, sentAt, endedAt = sentAt + second / 10, end, deadly)
 
     private fun run(id: String) = Execution(id, "/once/x", "steady", atNanos = 0)
 
@@ -26,6 +27,7 @@
         calls: List<Call>,
         runs: List<Execution> = emptyList(),
         arrivals: Map<String, List<Long>> = emptyMap(),
+        crashes: List<Long> = emptyList(),
         faults: List<FaultRecord> = emptyList(),
         mixedPasses: Int = 0,
         heldMillis: Long = 0,
@@ -33,6 +35,7 @@
         calls = calls + List(20) { call("good-$it") },
         runs = runs,
         arrivals = arrivals,
+        crashes = crashes,
         faults = faults,
         revokedAt = 5 * second,
         routeAddedAt = 5 * second,
@@ -106,6 +109,17 @@
         expectThat(promises(history(emptyList(), heldMillis = 2_000))).isEqualTo(setOf("one map"))
     }
 
+    @Test
+    fun `detects deadly prompts that reach replicas later than 3 s after the fifth crash`() {
+        val calls = List(4) { call("d$it", end = Outcome.Answer(502, "", true), deadly = true) }
+        fun arrivals(at: Long) = calls.associate { it.id to listOf(at) }
+        val crashes = List(5) { (8 + it) * second }
+        expectThat(promises(history(calls, arrivals = arrivals(16 * second), crashes = crashes)))
+            .isEqualTo(setOf("deadly prompts"))
+        expectThat(promises(history(calls, arrivals = arrivals(14 * second), crashes = crashes))).isEmpty()
+        expectThat(promises(history(calls, arrivals = arrivals(16 * second), crashes = crashes.take(4)))).isEmpty()
+    }
+
     @Test
     fun `detects too many retries and requests that fail after recovery`() {
         val arrivals = mapOf("a" to List(200) { 8 * second + it })
