Do not take a crash for the end of an unframed stream

Callers saw: a stream whose response has neither a length nor chunks, and whose replica ended before the first event, was passed on as a complete empty answer.

Cause: the end of the connection is the end of an unframed response, and a stream was only checked for a partial event.

Change: an unframed stream without any event has failed, unless it resumes one whose events the caller may all have. A stream that was ended between two events cannot be told from a complete one, as the protocol has no end mark.

Test: failed before (200, 200, 200; wanted 502 for the first and 503 for the others).

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import org.jujubelead.core.dispatch.AttemptOutcome
 import org.jujubelead.core.replica.Replica
@@ -99,6 +100,9 @@
 
     private var lastEventAt: Timestamp? = null
 
+    /** True if only the end of the connection ends the response. */
+    private var unframed = false
+
     /** Number of complete events that the replica has sent. */
     var eventCount: Int = 0
         private set
@@ -109,6 +113,9 @@
     /** Number of requests sent on the connection, including this one. */
     val connectionRequestCount: Int? get() = connection?.requests
 
+    /** Only the rest of a resumed stream can be empty. */
+    private val resuming: Boolean get() = resumesAfter != null || request.headers.contains(Headers.LAST_EVENT_ID)
+
     val streamHead: ResponseHead get() = checkNotNull(head) { "the response has not started" }
 
     fun send(to: HttpConnection, timeLeft: Duration, workspace: Workspace?) {
@@ -178,6 +185,7 @@
         val hopByHop = hopByHopHeaders(headers)
         for ((name, value) in headers) if (name.lowercase() !in hopByHop) forwardedHeaders.add(name, value)
         head = ResponseHead(status, forwardedHeaders)
+        unframed = !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response)
         val streamed = headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty().startsWith(Headers.EVENT_STREAM)
         if (notExecuted == null && status.code() == HttpResponseStatus.OK.code() && streamed) {
             splitter =
@@ -230,10 +238,10 @@
             responseHead == null -> finish(AttemptEnd.Failed("no-answer"))
 
             sse != null -> finish(
-                if (sse.partial) {
-                    AttemptEnd.Failed("event-cut", connectionLost = true)
-                } else {
-                    AttemptEnd.Answered.StreamEnded
+                when {
+                    sse.partial -> AttemptEnd.Failed("event-cut", connectionLost = true)
+                    unframed && eventCount == 0 && !resuming -> AttemptEnd.Failed("empty-stream", connectionLost = true)
+                    else -> AttemptEnd.Answered.StreamEnded
                 },
             )
 
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/FakeReplica.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/FakeReplica.kt
@@ -40,6 +40,12 @@
             "Transfer-Encoding: chunked\r\n\r\n",
     )
 
+    /** Starts a stream that ends with the connection. */
+    fun unframedHead() = raw(
+        "HTTP/1.1 200 OK\r\n${Headers.REQUEST_ID}: ${request.id}\r\n${Headers.REPLICA_SEAL}: s\r\n" +
+            "Content-Type: text/event-stream\r\n\r\n",
+    )
+
     fun chunk(text: String) = raw("${text.length.toString(16)}\r\n$text\r\n")
 
     fun events(ids: IntRange) = ids.forEach { chunk("id: $it\ndata: e$it\n\n") }
@@ -48,6 +54,9 @@
 
     fun close() = socket.close()
 
+    /** Ends the replica without resetting its connections. */
+    fun stop() = replica.close()
+
     /** Ends the replica: its connections are reset, and new ones are refused. */
     fun crash() = replica.crash()
 
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/PromptPartCrashTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/PromptPartCrashTest.kt
@@ -20,6 +20,34 @@
         }
     }
 
+    /** Guards against taking the end of a crashed replica's connection for the end of an unframed stream. */
+    @Test
+    fun `an unframed stream that ends before its first event is no answer and counts against the prompt`() {
+        val replicas = List(3) {
+            FakeReplica { reply ->
+                if ("dead:" in reply.request.headers[Headers.PROMPT_PARTS.lowercase()].orEmpty()) {
+                    reply.unframedHead()
+                    reply.stop()
+                } else {
+                    reply.unframedHead()
+                    reply.raw("id: 1\ndata: e1\n\n")
+                    reply.close()
+                }
+            }
+        }
+        GatewayFixture(*replicas.toTypedArray()).use { gateway ->
+            fun answer(
+                id: String,
+                parts: String,
+            ) = gateway.connect().request("/stream/x", id = id, extra = parts(parts))
+
+            expectThat(answer("s0", "system:40,own0:9").body).isEqualTo("id: 1\ndata: e1\n\n")
+            val deadly = List(3) { answer("d$it", "system:40,dead:7,ownd$it:9").status }
+            expectThat(deadly).isEqualTo(listOf(502, 503, 503))
+        }
+        replicas.forEach { it.close() }
+    }
+
     private fun parts(list: String) = "${Headers.PROMPT_PARTS}: $list\r\n"
 
     /** Guards against sending a prompt part that has crashed a replica to further replicas. */
