Log the limits that replicas name and the requests sent to them

Neither the limit nor the rate of requests at a replica could be seen. The choice of replicas is unchanged.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
@@ -26,6 +26,7 @@
 import org.jujubelead.gateway.net.ResponseHandler
 import org.jujubelead.gateway.net.TransportFailure
 import org.jujubelead.platform.wire.Headers
+import org.jujubelead.platform.wire.decodeRequestLimit
 import kotlin.time.Duration
 
 /** Status and headers of a replica's response without hop-by-hop headers. */
@@ -181,6 +182,9 @@
             !sealed -> return failAndClose("unsealed-answer")
             headers.contains(HttpHeaderNames.CONTENT_ENCODING) -> return failAndClose("encoded-answer")
         }
+        if (status != HttpResponseStatus.MISDIRECTED_REQUEST) {
+            exchange.limits.responded(replica, startedAt, decodeRequestLimit(headers.get(Headers.REQUEST_LIMIT)))
+        }
         val forwardedHeaders = DefaultHttpHeaders()
         val hopByHop = hopByHopHeaders(headers)
         for ((name, value) in headers) if (name.lowercase() !in hopByHop) forwardedHeaders.add(name, value)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/CallerConnection.kt
@@ -77,7 +77,7 @@
         requestStartedAt = ProcessClock.now()
         head = request
         body = Unpooled.compositeBuffer(MAX_BODY_COMPONENTS)
-        bodyTooLarge = HttpUtil.getContentLength(request, 0L) > dataPlane.limits.maxBodyBytes
+        bodyTooLarge = HttpUtil.getContentLength(request, 0L) > dataPlane.callerLimits.maxBodyBytes
         if (HttpUtil.is100ContinueExpected(request) && !bodyTooLarge) {
             channel.writeAndFlush(
                 DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
@@ -90,7 +90,7 @@
         if (content.decoderResult().isFailure) return rejectMalformed(content.decoderResult().cause())
         val request = head ?: return
         val collected = body ?: return
-        if (collected.readableBytes() + content.content().readableBytes() > dataPlane.limits.maxBodyBytes) {
+        if (collected.readableBytes() + content.content().readableBytes() > dataPlane.callerLimits.maxBodyBytes) {
             return rejectAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         }
         if (content.content().isReadable) collected.addComponent(true, content.content().retain())
@@ -169,7 +169,7 @@
 
     /** Closes the connection if the caller has exceeded the idle timeout between or within requests. */
     fun checkTimeouts(now: Timestamp) {
-        val limits = dataPlane.limits
+        val limits = dataPlane.callerLimits
         val startedAt = requestStartedAt
         when {
             startedAt != null && now - startedAt > limits.idleTimeout -> rejectAndClose(
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/CallerPipeline.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/CallerPipeline.kt
@@ -6,5 +6,5 @@
 
 internal fun callerPipeline(dataPlane: DataPlane): List<ChannelHandler> {
     val connection = CallerConnection(dataPlane) { c, request -> Exchange(dataPlane, c, request).also { it.start() } }
-    return listOf(StrictRequestDecoder(dataPlane.limits.maxHeaderBytes), HttpResponseEncoder(), connection)
+    return listOf(StrictRequestDecoder(dataPlane.callerLimits.maxHeaderBytes), HttpResponseEncoder(), connection)
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/DataPlane.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/DataPlane.kt
@@ -71,6 +71,9 @@
         connections.toList().forEach { it.onSlowRanksChanged() }
     }
 
+    /** Request limits that replicas name. */
+    val limits: LimitTracker = LimitTracker(log)
+
     /** Keeps prompts that crash replicas from them. */
     val prompts: QuarantineGate =
         QuarantineGate(loop, log) { connections.toList().forEach { it.onQuarantineChanged() } }
@@ -81,7 +84,7 @@
         (arrivals * (MAX_CRASH_OUTAGE / bounds.retryWindow)).toInt()
     }
 
-    val limits: CallerLimits get() = state.configuration?.limits ?: INITIAL_LIMITS
+    val callerLimits: CallerLimits get() = state.configuration?.limits ?: INITIAL_LIMITS
 
     /** Starts the periodic tasks. */
     fun start() {
@@ -185,6 +188,7 @@
     private fun closeExpiredConnections() {
         val now = ProcessClock.now()
         connections.toList().forEach { it.checkTimeouts(now) }
+        limits.expire(knownReplicas)
         pools.values.forEach { it.closeIdle(MAX_POOL_IDLE) }
     }
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -49,6 +49,7 @@
         private set
 
     val responseMemory: ByteBudget get() = dataPlane.responseMemory
+    val limits: LimitTracker get() = dataPlane.limits
 
     private val log = RequestLog(dataPlane, request)
     private lateinit var route: Route
@@ -148,6 +149,7 @@
     private fun startAttempt(replica: Replica) {
         attempts++
         triedReplicas += replica.id
+        dataPlane.limits.requestSent(replica)
         val a = Attempt(this, replica, request, resumesAfter = if (streamStarted) lastEvent else null)
         attempt = a
         val maxIdle = if (route.kind.repeatable) MAX_IDLE else MAX_IDLE_AT_MOST_ONCE
