Keep quarantined parts when many others are suspected

Found in the read of the change: records are limited to 32 and the latest were kept, so the crashes of many replicas for another reason could push out the record of a deadly part, which would then crash replicas again.

Change: quarantined records are kept first, then suspected ones, in the memory of a gateway and in reports alike.

Test: failed before (the part was admitted after 200 later suspicions), passes.

--- a/core/src/main/kotlin/org/jujubelead/core/quarantine/PartRecord.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/quarantine/PartRecord.kt
@@ -80,3 +80,12 @@
         const val MIN_WEIGHT_VOUCHED = 8
     }
 }
+
+/** The [count] records that matter most: quarantined ones first, then suspected ones, then the latest. */
+public fun Map<PartKey, PartRecord>.mostImportant(count: Int): Map<PartKey, PartRecord> {
+    if (size <= count) return this
+    val order = compareByDescending<PartRecord> { it.quarantined }
+        .thenByDescending { it.suspected }
+        .thenByDescending { it.expiresMillis }
+    return entries.sortedWith(compareBy(order) { it.value }).take(count).associate { it.key to it.value }
+}
--- a/core/src/main/kotlin/org/jujubelead/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/quarantine/PromptQuarantine.kt
@@ -146,8 +146,7 @@
             if (record.nextTrialMillis != records[key]?.nextTrialMillis || !record.quarantined) refusals.remove(key)
             if (!record.quarantined) grants.remove(key)
         }
-        records = (records + different).entries.sortedByDescending { it.value.expiresMillis }.take(MAX_RECORDS)
-            .associate { it.key to it.value }
+        records = (records + different).mostImportant(MAX_RECORDS)
         return true
     }
 
@@ -175,7 +174,7 @@
         /** Parts whose answers are remembered: several hours of new prompts at a busy instance. */
         const val MAX_ANSWERED_PARTS = 4096
 
-        /** Bounds the size of the evidence in the store and in reports. */
+        /** Bounds the size of the evidence in the store. */
         const val MAX_RECORDS = 32
 
         const val MIN_TRIAL_REFUSALS = 15
--- a/core/src/test/kotlin/org/jujubelead/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/quarantine/PromptQuarantineTest.kt
@@ -121,6 +121,18 @@
         expectThat(restarted.admits("system", at = 1_000)).isTrue()
     }
 
+    /** Guards against a deadly part that is forgotten because many replicas crash later for another reason. */
+    @Test
+    fun `a quarantined part stays so when later crashes put many others under suspicion`() {
+        quarantine.crash(1, "dead")
+        repeat(200) { n -> quarantine.crash(100 + n, "victim$n", started = false, at = 1_000L + n) }
+        expectThat(quarantine.admits("dead", at = 2_000)).isFalse()
+        val other = PromptQuarantine()
+        repeat(200) { n -> other.crash(100 + n, "victim$n", started = false, at = 1_000L + n) }
+        other.merge(quarantine.records, wallMillis = 2_000)
+        expectThat(other.admits("dead", at = 2_000)).isFalse()
+    }
+
     /** Guards against evidence that is too old and against evidence of another service. */
     @Test
     fun `a quarantine applies to one service and is forgotten after some hours`() {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceReports.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceReports.kt
@@ -12,6 +12,7 @@
 import io.netty.buffer.Unpooled
 import org.jujubelead.core.quarantine.PartKey
 import org.jujubelead.core.quarantine.PartRecord
+import org.jujubelead.core.quarantine.mostImportant
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 
@@ -37,11 +38,8 @@
         if (records().isEmpty()) return null
         val due = if (promptSends > 0) promptSends-- > 0 else fullReport && fullReports++ % FULL_REPORTS_PER_REPEAT == 0
         if (!due) return null
-        val latest = records().entries.sortedWith(
-            compareByDescending<Map.Entry<PartKey, PartRecord>> { it.value.quarantined }
-                .thenByDescending { it.value.expiresMillis },
-        ).take(MAX_RECORDS_PER_REPORT).associate { it.key to it.value }
-        return Unpooled.buffer().writeByte(FORMAT).writeBytes(encodeEvidence(latest).toByteArray())
+        val evidence = encodeEvidence(records().mostImportant(MAX_RECORDS_PER_REPORT))
+        return Unpooled.buffer().writeByte(FORMAT).writeBytes(evidence.toByteArray())
     }
 
     /** Handles a datagram of another gateway. */
@@ -57,7 +55,7 @@
         private const val PROMPT_SENDS = 3
         private const val FULL_REPORTS_PER_REPEAT = 10
 
-        /** Keeps a datagram small; quarantined parts come first. */
+        /** Keeps a datagram small. */
         private const val MAX_RECORDS_PER_REPORT = 6
     }
 }
