Drop a requested trial that another gateway has recorded

EvidenceStoreTest, "one of several gateways makes a trial", failed once (after a pass): the gateway that had just stored the evidence waited for its next write with a trial requested, read that another one had recorded the same trial, and then wrote and made it as well. A deadly part would be tried twice.

Change: a requested trial is dropped when the stored record has as many trials.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
@@ -58,6 +58,7 @@
             log.log(LogEvent.EVIDENCE_UNREADABLE, "from" to "store", "detail" to it)
             emptyMap()
         }
+        trial = trial?.takeIf(::isNew)
         onEvidence(stored)
         writeIfNeeded()
     }
@@ -74,10 +75,13 @@
 
     /** Records a trial of the part of [key]; this gateway makes it unless another one was faster. */
     fun requestTrial(key: PartKey, record: PartRecord) {
-        trial = key to record
+        trial = (key to record).takeIf(::isNew)
         writeIfNeeded()
     }
 
+    private fun isNew(requested: Pair<PartKey, PartRecord>): Boolean =
+        (stored[requested.first]?.trials ?: 0) < requested.second.trials
+
     private fun writeIfNeeded() {
         val now = ProcessClock.read().wallMillis
         val current = (stored + local.mapValues { (key, record) -> stored[key]?.merge(record) ?: record })
