Name the limit tracker after its type and align a pause

A request that is stopped by a new quarantine is told the pause of the first trial, two minutes, as one that arrives later is.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
@@ -183,7 +183,7 @@
             headers.contains(HttpHeaderNames.CONTENT_ENCODING) -> return failAndClose("encoded-answer")
         }
         if (status != HttpResponseStatus.MISDIRECTED_REQUEST) {
-            exchange.limits.responded(replica, startedAt, decodeRequestLimit(headers.get(Headers.REQUEST_LIMIT)))
+            exchange.limitTracker.responded(replica, startedAt, decodeRequestLimit(headers.get(Headers.REQUEST_LIMIT)))
         }
         val forwardedHeaders = DefaultHttpHeaders()
         val hopByHop = hopByHopHeaders(headers)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/DataPlane.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/DataPlane.kt
@@ -76,7 +76,7 @@
 
     /** Request limits that replicas name. */
     val replicaLimits: ReplicaLimits = ReplicaLimits(own)
-    val limits: LimitTracker = LimitTracker(log, replicaLimits)
+    val limitTracker: LimitTracker = LimitTracker(log, replicaLimits)
 
     /** Keeps prompts that crash replicas from them. */
     val prompts: QuarantineGate =
@@ -195,7 +195,7 @@
     private fun closeExpiredConnections() {
         val now = ProcessClock.now()
         connections.toList().forEach { it.checkTimeouts(now) }
-        limits.expire(knownReplicas)
+        limitTracker.expire(knownReplicas)
         pools.values.forEach { it.closeIdle(MAX_POOL_IDLE) }
     }
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -49,7 +49,7 @@
         private set
 
     val responseMemory: ByteBudget get() = dataPlane.responseMemory
-    val limits: LimitTracker get() = dataPlane.limits
+    val limitTracker: LimitTracker get() = dataPlane.limitTracker
 
     private val log = RequestLog(dataPlane, request)
     private lateinit var route: Route
@@ -149,7 +149,7 @@
     private fun startAttempt(replica: Replica) {
         attempts++
         triedReplicas += replica.id
-        dataPlane.limits.requestSent(replica)
+        dataPlane.limitTracker.requestSent(replica)
         val a = Attempt(this, replica, request, resumesAfter = if (streamStarted) lastEvent else null)
         attempt = a
         val maxIdle = if (route.kind.repeatable) MAX_IDLE else MAX_IDLE_AT_MOST_ONCE
@@ -430,8 +430,8 @@
         val RETRY_AFTER_UNDECIDED: Duration = 50.milliseconds
         val RETRY_AFTER_NO_CAPACITY: Duration = 150.milliseconds
 
-        /** The part is tried again after a minute or later. */
-        val RETRY_AFTER_QUARANTINED: Duration = 60.seconds
+        /** The pause before the first trial of a quarantined part. */
+        val RETRY_AFTER_QUARANTINED: Duration = 120.seconds
         val MAX_IDLE: Duration = 10_000.milliseconds
 
         /**
