--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -24,7 +24,13 @@
     /** A gateway process and its addresses. */
     record Gateway(Process process, String ip, int callers, int readiness) {
         Http connect() throws IOException {
+            return connect(0);
+        }
+
+        /** Connects with a receive window of about {@code window} bytes; 0 for the system's. */
+        Http connect(int window) throws IOException {
             Socket s = new Socket();
+            if (window > 0) s.setReceiveBufferSize(window);
             s.connect(new InetSocketAddress(ip, callers), 1000);
             s.setSoTimeout(20_000);
             return new Http(s);
