--- a/review/1/run2.sh
+++ /dev/null
@@ -1,5 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")/../.." || exit 2
-[ -f target/jujubelead.jar ] && [ -f /tmp/rv2/ExtraBytes.class ] || { echo "build first"; exit 2; }
-exec java -cp /tmp/rv2 ExtraBytes 1
