--- a/review/standins/StopDuringAnswer.java
+++ b/review/standins/StopDuringAnswer.java
@@ -10,11 +10,11 @@
 /**
  * Case: a gateway gets SIGTERM while callers receive long answers.
  *
- * Five callers fetch answers of 6 MB, one after the other, over links of 10 Mbit/s with windows of 64 KB. With the disruption one of two
+ * Five callers fetch answers of 8 MB, one after the other, over links of 10 Mbit/s with windows of 64 KB. With the disruption one of two
  * gateways gets SIGTERM, and the platform sends it no new channels once two of its readiness checks have failed.
  */
 public final class StopDuringAnswer {
-    private static final int ANSWER_BYTES = 6_000_000;
+    private static final int ANSWER_BYTES = 8_000_000;
     private static final int CLIENTS = 5;
     private static final int PIECE_BYTES = 65_536;
     private static final int PIECE_MS = 52;
