--- a/review/standins/LongRequests.java
+++ b/review/standins/LongRequests.java
@@ -11,13 +11,13 @@
 /**
  * Case: a burst of the class whose requests are long.
  *
- * Twelve clients send short unsafe requests. 14 clients send requests of the length that the manifest allows, over
- * links of 20 Mbit/s. With the disruption there are 21 of the latter for four seconds, 1.5 times their usual traffic.
+ * Twenty clients send short unsafe requests. 16 clients send requests of the length that the manifest allows, over
+ * links of 20 Mbit/s. With the disruption there are 24 of the latter for four seconds, 1.5 times their usual traffic.
  */
 public final class LongRequests {
-    private static final int SHORT_CLIENTS = 12;
-    private static final int LONG_CLIENTS = 14;
-    private static final int LONG_CLIENTS_IN_BURST = 21;
+    private static final int SHORT_CLIENTS = 20;
+    private static final int LONG_CLIENTS = 16;
+    private static final int LONG_CLIENTS_IN_BURST = 24;
     private static final int BODY_BYTES = 4_194_304;
     /** 64 KB each 26 ms are 20 Mbit/s. */
     private static final int PIECE_BYTES = 65_536;
--- a/review/standins/Replica.java
+++ b/review/standins/Replica.java
@@ -95,10 +95,17 @@
     private void serve(Http http) throws Exception {
         for (int use = 1; ; use++) {
             Http.Message head = http.head();
+            if (head.path().equals("/health")) {
+                http.body(head);
+                boolean healthy = state.equals("ready");
+                http.write("HTTP/1.1 " + (healthy ? "200 OK" : "503 Service Unavailable") + "\r\nReplica-Id: " + id
+                    + "\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
             String expected = head.header("Expect-Replica");
             if (expected != null && !expected.equals(id)) {
                 http.body(head);
-                http.write(answer(421, head, "") .replace("\r\n\r\n", "\r\nNot-Executed: 1\r\n\r\n"));
+                http.write(answer(421, head, "").replace("\r\n\r\n", "\r\nNot-Executed: 1\r\n\r\n"));
                 continue;
             }
             if (!handler.serve(this, http, head, use)) return;
