Test each guard against bytes outside of a response by itself

Three guards keep such bytes out: bytes behind a response and bytes on an idle connection close it, and the head of a response is checked before it is parsed. With the check of heads in place, no test failed when one of the first two was taken out, except for bytes that the event loop had not seen.

--- a/gateway/src/test/kotlin/org/jujubelead/gateway/net/HttpConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/net/HttpConnectionTest.kt
@@ -115,7 +115,36 @@
         expectThat(pool.opened).isEqualTo(2)
     }
 
+    /** Guards against a response whose status is that of the bytes behind the response before it. */
+    @Test
+    fun `a connection with bytes behind a response is not used for the next request`() {
+        serve { socket ->
+            socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n$PART_OF_COPY".toByteArray())
+            socket.getInputStream().read()
+        }
+        expectThat(resultOf()).isEqualTo("complete")
+        expectThat(resultOf()).isEqualTo("complete")
+        expectThat(pool.opened).isEqualTo(2)
+    }
+
+    @Test
+    fun `a connection is closed when bytes arrive while it is idle`() {
+        val closed = CompletableFuture<Int>()
+        serve { socket ->
+            socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".toByteArray())
+            Thread.sleep(BUSY.inWholeMilliseconds)
+            socket.getOutputStream().write(PART_OF_COPY.toByteArray())
+            closed.complete(socket.getInputStream().read())
+        }
+        expectThat(resultOf()).isEqualTo("complete")
+        expectThat(closed.get(5, TimeUnit.SECONDS)).isEqualTo(-1)
+        expectThat(resultOf()).isEqualTo("complete")
+        expectThat(pool.opened).isEqualTo(2)
+    }
+
     private companion object {
+        /** The beginning of a second copy of a refusal. */
+        const val PART_OF_COPY = "HTTP/1.1 503 Se"
         val BUSY: Duration = 200.milliseconds
     }
 }
