Check the nesting of JSON before it is parsed

Cause: the JSON parser is recursive and the threads have stacks of 192 KB. The error is caught since, but whether it can be handled depends on where in the parser the stack ends: an error within the initialization of a class would make that class unusable for the rest of the process.

Change: text is scanned before it is parsed, and rejected beyond 64 levels. All JSON of the store, of replicas, of peers and of evidence is read by one function that returns errors; the list of a zone's reader and the evidence caught only one kind of exception. The fields of an entry are read within the same check, so that none can make the rest of its page unreadable.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceCodec.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceCodec.kt
@@ -1,11 +1,10 @@
 /** JSON format of the evidence against prompt parts, in the store and in reports between gateways. */
 package org.jujubelead.gateway.quarantine
 
-import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 import org.jujubelead.core.ids.PromptPartId
 import org.jujubelead.core.ids.ServiceId
@@ -14,6 +13,8 @@
 import org.jujubelead.core.quarantine.PartRecord
 import org.jujubelead.core.replica.Incarnation
 import org.jujubelead.core.replica.ReplicaId
+import org.jujubelead.platform.wire.DecodeError
+import org.jujubelead.platform.wire.decodeJson
 
 @Serializable
 private data class CrashEntry(
@@ -34,9 +35,7 @@
     val expiresMillis: Long,
 )
 
-private val json = Json { ignoreUnknownKeys = true }
-
-internal fun encodeEvidence(records: Map<PartKey, PartRecord>): String = json.encodeToString(
+internal fun encodeEvidence(records: Map<PartKey, PartRecord>): String = Json.encodeToString(
     records.map { (key, record) ->
         PartEntry(
             service = key.service.value,
@@ -53,11 +52,9 @@
 )
 
 /** Returns the reason if [text] is not such evidence. */
-internal fun decodeEvidence(text: String): Result<Map<PartKey, PartRecord>, String> = try {
-    Ok(json.decodeFromString<List<PartEntry>>(text).associate { it.toRecord() })
-} catch (e: SerializationException) {
-    Err(e.message.orEmpty())
-}
+internal fun decodeEvidence(text: String): Result<Map<PartKey, PartRecord>, DecodeError> =
+    decodeJson("evidence", ListSerializer(PartEntry.serializer()), text)
+        .map { entries -> entries.associate { it.toRecord() } }
 
 private fun PartEntry.toRecord(): Pair<PartKey, PartRecord> {
     val cleared = crashes.filter { it.cleared }.mapTo(HashSet()) { it.incarnation() }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
@@ -55,7 +55,7 @@
         if (value.revision <= (revision ?: Revision(0))) return
         revision = value.revision
         stored = decodeEvidence(value.text).getOrElse {
-            log.log(LogEvent.EVIDENCE_UNREADABLE, "from" to "store", "detail" to it)
+            log.log(LogEvent.EVIDENCE_UNREADABLE, "from" to "store", "detail" to it.detail)
             emptyMap()
         }
         trial = trial?.takeIf(::isNew)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaRelay.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaRelay.kt
@@ -8,9 +8,9 @@
  */
 package org.jujubelead.gateway.store
 
+import com.github.michaelbull.result.getOrElse
 import io.netty.channel.EventLoop
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.jujubelead.core.ids.ZoneId
 import org.jujubelead.core.replica.Endpoint
@@ -22,6 +22,7 @@
 import org.jujubelead.gateway.peers.Peer
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
+import org.jujubelead.platform.wire.decodeJson
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -82,12 +83,11 @@
     }
 
     /** Returns null if [body] is no list: the reader's address may belong to another process by now. */
-    private fun decode(body: String): SharedList? = try {
-        Json.decodeFromString(SharedList.serializer(), body)
-    } catch (e: SerializationException) {
-        log.log(LogEvent.REPLICA_ENTRIES_UNREADABLE, "reader" to zoneReader?.endpoint, "detail" to e.message)
-        null
-    }
+    private fun decode(body: String): SharedList? =
+        decodeJson("shared list", SharedList.serializer(), body).getOrElse {
+            log.log(LogEvent.REPLICA_ENTRIES_UNREADABLE, "reader" to zoneReader?.endpoint, "detail" to it.detail)
+            null
+        }
 
     public companion object {
         /** Path of the shared list on the internal port of a gateway. */
