Repeat all work of the control plane through one primitive

Cause: the class of fault is a loop that goes on only if its work succeeds.

Change: RepeatingTask runs one turn at a time, schedules the next one itself when a turn has ended, thrown, or passed its deadline, and drops what arrives for a turn that is over. The loops tell only how long to wait. A handler of changes that failed is called again with the next turn, where a change was recorded as handled before. Periodic tasks use it as well.

Evidence: ControlLoopsTest runs all loops against a store; each decoder, and each handler of changes, throws an Error the first two times. It passes with this change.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
@@ -23,13 +23,13 @@
 import org.jujubelead.gateway.peers.PeerDirectory
 import org.jujubelead.gateway.quarantine.EvidenceReports
 import org.jujubelead.gateway.quarantine.EvidenceStore
+import org.jujubelead.gateway.schedule.scheduleRepeating
 import org.jujubelead.gateway.settings.ProcessDescription
 import org.jujubelead.gateway.store.ReplicaRelay
 import org.jujubelead.gateway.store.StorePoller
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.GatewayMetrics
 import org.jujubelead.gateway.telemetry.LogEvent
-import org.jujubelead.gateway.telemetry.scheduleRepeating
 import java.util.concurrent.CountDownLatch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/DataPlane.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/DataPlane.kt
@@ -27,12 +27,12 @@
 import org.jujubelead.gateway.peers.LoadReport
 import org.jujubelead.gateway.peers.SlowRankTracker
 import org.jujubelead.gateway.quarantine.QuarantineGate
+import org.jujubelead.gateway.schedule.scheduleRepeating
 import org.jujubelead.gateway.settings.DeploymentBounds
 import org.jujubelead.gateway.store.ControlState
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.GatewayMetrics
 import org.jujubelead.gateway.telemetry.LogEvent
-import org.jujubelead.gateway.telemetry.scheduleRepeating
 import java.util.IdentityHashMap
 import kotlin.random.Random
 import kotlin.time.Duration
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/GracefulStop.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/GracefulStop.kt
@@ -11,6 +11,9 @@
 import io.netty.channel.Channel
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.schedule.RepeatingTask
+import org.jujubelead.gateway.schedule.guarded
+import org.jujubelead.gateway.schedule.scheduleRepeating
 import java.util.concurrent.TimeUnit
 
 /**
@@ -26,8 +29,14 @@
     private val endBy: Timestamp,
     private val onStopped: (cut: Int) -> Unit,
 ) {
+    private var steps: RepeatingTask? = null
+    private var ended = false
+
     fun start() {
         dataPlane.draining = true
+        steps = dataPlane.loop.scheduleRepeating(CHECK_MILLIS, "graceful stop", ::step)
+        val timeLeft = endBy - ProcessClock.now()
+        dataPlane.loop.schedule(::end, timeLeft.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         step()
     }
 
@@ -35,16 +44,19 @@
         val now = ProcessClock.now()
         if (now >= refuseAt) {
             dataPlane.closed = true
-            dataPlane.connections.toList().forEach { it.closeUnused(now) }
+            for (c in dataPlane.connections.toList()) guarded("close unused") { c.closeUnused(now) }
         }
         val answered = dataPlane.closed && dataPlane.activeExchanges == 0
         if (answered && listener.isOpen) listener.close()
-        if ((answered && dataPlane.connections.isEmpty()) || now >= endBy) {
-            // The event loop writes the last bytes of a response in its next iteration.
-            dataPlane.loop.schedule({ onStopped(dataPlane.activeExchanges) }, FLUSH_DELAY_MILLIS, TimeUnit.MILLISECONDS)
-            return
-        }
-        dataPlane.loop.schedule(::step, CHECK_MILLIS, TimeUnit.MILLISECONDS)
+        if (answered && dataPlane.connections.isEmpty()) end()
+    }
+
+    private fun end() {
+        if (ended) return
+        ended = true
+        steps?.stop()
+        // The event loop writes the last bytes of a response in its next iteration.
+        dataPlane.loop.schedule({ onStopped(dataPlane.activeExchanges) }, FLUSH_DELAY_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/GatewayListPoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/GatewayListPoller.kt
@@ -10,9 +10,9 @@
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.successBody
+import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.platform.wire.StoreRequests
-import org.jujubelead.platform.wire.decodeValues
-import java.util.concurrent.TimeUnit
+import org.jujubelead.platform.wire.WireDecoders
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -22,31 +22,34 @@
 /** @param onChange receives all gateways. */
 public class GatewayListPoller(
     private val store: HttpClient,
-    private val loop: EventLoop,
+    loop: EventLoop,
+    private val decoders: WireDecoders = WireDecoders,
     private val onChange: (List<Peer>) -> Unit,
 ) {
     private var known: List<Peer> = emptyList()
-    private var stopped = false
+    private val polls = RepeatingTask(
+        loop = loop,
+        name = "gateway list",
+        waitTime = { if (known.isEmpty()) INITIAL_INTERVAL else INTERVAL },
+        work = ::list,
+    )
 
     /** Starts polling after [initialDelay]. */
-    public fun start(initialDelay: Duration = INITIAL_INTERVAL) {
-        loop.schedule(::list, initialDelay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-    }
+    public fun start(initialDelay: Duration = INITIAL_INTERVAL): Unit = polls.start(initialDelay)
 
-    public fun stop() {
-        stopped = true
-    }
+    public fun stop(): Unit = polls.stop()
 
-    private fun list() {
-        if (stopped) return
-        store.get(StoreRequests.staleRangeReadPath(PREFIX)) { result ->
-            val peers = result.successBody()?.let { decodeValues(it).get() }?.mapNotNull(::peer)
-            if (peers != null && peers != known && !stopped) {
-                known = peers
-                onChange(peers)
-            }
-            start(if (known.isEmpty()) INITIAL_INTERVAL else INTERVAL)
-        }
+    private fun list(turn: RepeatingTask.Turn) {
+        store.get(
+            StoreRequests.staleRangeReadPath(PREFIX),
+            turn.lastStep { result ->
+                val peers = result.successBody()?.let { decoders.values(it).get() }?.mapNotNull(::peer)
+                if (peers != null && peers != known) {
+                    onChange(peers)
+                    known = peers
+                }
+            },
+        )
     }
 
     private fun peer(text: String): Peer? {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/LoadExchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/LoadExchange.kt
@@ -21,7 +21,7 @@
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.quarantine.EvidenceReports
-import org.jujubelead.gateway.telemetry.scheduleRepeating
+import org.jujubelead.gateway.schedule.scheduleRepeating
 import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.time.Duration
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/PeerDirectory.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/PeerDirectory.kt
@@ -11,10 +11,10 @@
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.successBody
+import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.platform.wire.LeaseId
 import org.jujubelead.platform.wire.StoreRequests
-import org.jujubelead.platform.wire.decodeLease
-import java.util.concurrent.TimeUnit
+import org.jujubelead.platform.wire.WireDecoders
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -22,46 +22,60 @@
 /** @param onChange receives the other gateways. */
 public class PeerDirectory(
     private val store: HttpClient,
-    private val loop: EventLoop,
+    loop: EventLoop,
     private val instance: InstanceId,
     private val own: Peer,
+    private val decoders: WireDecoders = WireDecoders,
     private val onChange: (List<Peer>) -> Unit,
 ) {
     private var lease: LeaseId? = null
-    private val list = GatewayListPoller(store, loop) { all -> onChange(all.filter { it.endpoint != own.endpoint }) }
+    private val list = GatewayListPoller(store, loop, decoders) { all ->
+        onChange(all.filter { it.endpoint != own.endpoint })
+    }
+    private val registration = RepeatingTask(
+        loop = loop,
+        name = "registration",
+        waitTime = { if (lease == null) RETRY_INTERVAL else RENEW_INTERVAL },
+        work = ::register,
+    )
 
     public fun start() {
-        loop.execute(::register)
+        registration.start()
         list.start()
     }
 
-    private fun register() {
+    private fun register(turn: RepeatingTask.Turn) {
         val held = lease
-        if (held != null) return renew(held)
-        store.post(StoreRequests.LEASE_PATH, StoreRequests.grantLease(LEASE_TIME)) { result ->
-            val granted = result.successBody()?.let { decodeLease(it).get() }
-            if (granted == null) return@post scheduleRegister(RETRY_INTERVAL)
-            val write = StoreRequests.writeWithLease(
-                "${GatewayListPoller.PREFIX}${instance.value}",
-                "${own.zone.value} ${own.endpoint}",
-                granted,
-            )
-            store.post(StoreRequests.TRANSACTION_PATH, write) { written ->
-                if (written.get()?.status == STATUS_OK) lease = granted
-                scheduleRegister(if (lease != null) RENEW_INTERVAL else RETRY_INTERVAL)
-            }
-        }
+        if (held != null) return renew(held, turn)
+        store.post(
+            StoreRequests.LEASE_PATH,
+            StoreRequests.grantLease(LEASE_TIME),
+            done = turn.step { result ->
+                val granted = result.successBody()?.let { decoders.lease(it).get() }
+                if (granted == null) turn.end() else write(granted, turn)
+            },
+        )
     }
 
-    private fun renew(held: LeaseId) {
-        store.post(StoreRequests.renewLeasePath(held), "") { result ->
-            if (result.get()?.status == STATUS_NOT_FOUND) lease = null
-            scheduleRegister(if (lease == null) RETRY_INTERVAL else RENEW_INTERVAL)
-        }
+    private fun write(granted: LeaseId, turn: RepeatingTask.Turn) {
+        val write = StoreRequests.writeWithLease(
+            "${GatewayListPoller.PREFIX}${instance.value}",
+            "${own.zone.value} ${own.endpoint}",
+            granted,
+        )
+        store.post(
+            StoreRequests.TRANSACTION_PATH,
+            write,
+            done = turn.lastStep { if (it.get()?.status == STATUS_OK) lease = granted },
+        )
     }
 
-    private fun scheduleRegister(wait: Duration) {
-        loop.schedule(::register, wait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    private fun renew(held: LeaseId, turn: RepeatingTask.Turn) {
+        store.post(
+            StoreRequests.renewLeasePath(held),
+            "",
+            done = turn.lastStep { if (it.get()?.status == STATUS_NOT_FOUND) lease = null },
+        )
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
@@ -19,12 +19,12 @@
 import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.TextResponse
+import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.StoreRequests
 import org.jujubelead.platform.wire.StoredValue
-import org.jujubelead.platform.wire.decodeConflict
-import org.jujubelead.platform.wire.decodeWriteRevision
+import org.jujubelead.platform.wire.WireDecoders
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -38,13 +38,20 @@
     private val store: HttpClient,
     private val loop: EventLoop,
     private val log: EventLog,
+    private val decoders: WireDecoders = WireDecoders,
     private val onEvidence: (Map<PartKey, PartRecord>) -> Unit,
     private val onTrial: (PartKey, PartRecord) -> Unit,
 ) {
     private var stored: Map<PartKey, PartRecord> = emptyMap()
     private var local: Map<PartKey, PartRecord> = emptyMap()
     private var trial: Pair<PartKey, PartRecord>? = null
-    private var writing = false
+    private var lastWriteSucceeded = false
+    private val writes = RepeatingTask(
+        loop = loop,
+        name = "evidence",
+        waitTime = { if (lastWriteSucceeded) MIN_WRITE_INTERVAL else RETRY_INTERVAL },
+        work = ::writeIfNeeded,
+    )
 
     /** Revision of the stored evidence that this gateway knows; null if there is none. */
     var revision: Revision? = null
@@ -60,7 +67,7 @@
         }
         trial = trial?.takeIf(::isNew)
         onEvidence(stored)
-        writeIfNeeded()
+        writes.request()
     }
 
     /**
@@ -69,33 +76,32 @@
      */
     fun publish(records: Map<PartKey, PartRecord>, observed: Boolean) {
         local = records
-        if (observed) return writeIfNeeded()
-        loop.schedule(::writeIfNeeded, FOREIGN_EVIDENCE_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        if (observed) return writes.request()
+        loop.schedule(writes::request, FOREIGN_EVIDENCE_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     /** Records a trial of the part of [key]; this gateway makes it unless another one was faster. */
     fun requestTrial(key: PartKey, record: PartRecord) {
         trial = (key to record).takeIf(::isNew)
-        writeIfNeeded()
+        writes.request()
     }
 
     private fun isNew(requested: Pair<PartKey, PartRecord>): Boolean =
         (stored[requested.first]?.trials ?: 0) < requested.second.trials
 
-    private fun writeIfNeeded() {
+    private fun writeIfNeeded(turn: RepeatingTask.Turn) {
         val now = ProcessClock.read().wallMillis
         val current = (stored + local.mapValues { (key, record) -> stored[key]?.merge(record) ?: record })
             .filterValues { now < it.expiresMillis }
         val requested = trial
         val missing = local.any { (key, record) -> addsEvidence(record, stored[key]) }
-        if (writing || (!missing && requested == null)) return
-        writing = true
+        if (!missing && requested == null) return turn.endIdle()
         val next = if (requested == null) {
             current
         } else {
             current + (requested.first to (current[requested.first]?.merge(requested.second) ?: requested.second))
         }
-        write(next, requested)
+        write(next, requested, turn)
     }
 
     /** Suspicions that never led to a quarantine are stored, but not that they were cleared. */
@@ -105,19 +111,22 @@
             known.merge(record).quarantined != known.quarantined
     }
 
-    private fun write(next: Map<PartKey, PartRecord>, requested: Pair<PartKey, PartRecord>?) {
+    private fun write(
+        next: Map<PartKey, PartRecord>,
+        requested: Pair<PartKey, PartRecord>?,
+        turn: RepeatingTask.Turn,
+    ) {
         val body = StoreRequests.replace(KEY, revision, encodeEvidence(next))
-        store.post(StoreRequests.TRANSACTION_PATH, body) { result ->
-            trial = null
-            result.fold({ onWriteResponse(it, next, requested) }, { notStored(it.detail) })
-            val wait = if (result.get()?.status == STATUS_OK) MIN_WRITE_INTERVAL else RETRY_INTERVAL
-            loop.schedule(::writeAgain, wait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-        }
-    }
-
-    private fun writeAgain() {
-        writing = false
-        writeIfNeeded()
+        lastWriteSucceeded = false
+        store.post(
+            StoreRequests.TRANSACTION_PATH,
+            body,
+            done = turn.lastStep { result ->
+                trial = null
+                lastWriteSucceeded = result.get()?.status == STATUS_OK
+                result.fold({ onWriteResponse(it, next, requested) }, { notStored(it.detail) })
+            },
+        )
     }
 
     private fun onWriteResponse(
@@ -126,11 +135,11 @@
         requested: Pair<PartKey, PartRecord>?,
     ) {
         when (answer.status) {
-            STATUS_OK -> decodeWriteRevision(answer.body)
+            STATUS_OK -> decoders.writeRevision(answer.body)
                 .onSuccess { onWritten(it, next, requested) }
                 .onFailure { notStored(it.detail) }
 
-            STATUS_CONFLICT -> decodeConflict(answer.body)
+            STATUS_CONFLICT -> decoders.conflict(answer.body)
                 .onSuccess { items -> items[KEY]?.let(::onStored) }
                 .onFailure { notStored(it.detail) }
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -24,9 +24,9 @@
 import org.jujubelead.core.route.ExpertLayout
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.schedule.scheduleRepeating
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
-import org.jujubelead.gateway.telemetry.scheduleRepeating
 import org.jujubelead.platform.wire.HeldExperts
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/LocalRank.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/LocalRank.kt
@@ -7,13 +7,17 @@
 import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.successBody
+import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.platform.wire.RankEndpoints
-import org.jujubelead.platform.wire.decodeRankReport
-import java.util.concurrent.TimeUnit
+import org.jujubelead.platform.wire.WireDecoders
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-internal class LocalRank(private val replica: HttpClient, private val loop: EventLoop) {
+internal class LocalRank(
+    private val replica: HttpClient,
+    private val loop: EventLoop,
+    private val decoders: WireDecoders = WireDecoders,
+) {
     /** Passes a reading of the rank to [done]; null if the replica did not answer. */
     fun read(done: (RankReading?) -> Unit) {
         val readAt = ProcessClock.now()
@@ -39,16 +43,25 @@
 
     /** Reads the rank until it has prepared the map of [version], at least once and no longer than until [end]. */
     private fun readUntil(end: Timestamp, version: Long?, done: (RankReading?) -> Unit) {
-        read { reading ->
-            val prepared = reading?.let { decodeRankReport(it.report, ProcessClock.now()).get() }?.observation?.prepared
-            if (ProcessClock.now() >= end || prepared?.value == version) return@read done(reading)
-            loop.schedule({ readUntil(end, version, done) }, LOAD_CHECK_MILLIS, TimeUnit.MILLISECONDS)
+        val reads = RepeatingTask(loop, "rank after order", waitTime = { LOAD_CHECK_INTERVAL }) { turn ->
+            read(
+                turn.step { reading ->
+                    val ended = ProcessClock.now() >= end || preparedVersion(reading) == version
+                    if (!ended) return@step turn.end()
+                    turn.stopTask()
+                    done(reading)
+                },
+            )
         }
+        reads.request()
     }
 
+    private fun preparedVersion(reading: RankReading?): Long? =
+        reading?.let { decoders.rankReport(it.report, ProcessClock.now()).get() }?.observation?.prepared?.value
+
     private companion object {
         /** Loading experts takes a small part of this, unless the link of the replica is busy. */
         val MAX_LOAD_TIME: Duration = 250.milliseconds
-        const val LOAD_CHECK_MILLIS = 30L
+        val LOAD_CHECK_INTERVAL: Duration = 30.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -12,6 +12,7 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.netty.channel.nio.NioEventLoopGroup
+import kotlinx.serialization.DeserializationStrategy
 import org.jujubelead.core.expertmap.GroupMap
 import org.jujubelead.core.expertmap.MapOrder
 import org.jujubelead.core.expertmap.MapVersion
@@ -26,22 +27,23 @@
 import org.jujubelead.gateway.net.listen
 import org.jujubelead.gateway.net.servicePipeline
 import org.jujubelead.gateway.net.successBody
+import org.jujubelead.gateway.schedule.RepeatingTask
+import org.jujubelead.gateway.schedule.scheduleRepeating
 import org.jujubelead.gateway.settings.ProcessDescription
 import org.jujubelead.gateway.store.LeaderElection
 import org.jujubelead.gateway.store.Leadership
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
-import org.jujubelead.gateway.telemetry.scheduleRepeating
 import org.jujubelead.platform.wire.RankEndpoints
 import org.jujubelead.platform.wire.StoreRequests
 import org.jujubelead.platform.wire.decodeConfiguration
 import org.jujubelead.platform.wire.decodeExpertCounts
+import org.jujubelead.platform.wire.decodeJson
 import org.jujubelead.platform.wire.decodeRankReport
 import org.jujubelead.platform.wire.decodeReplicaPage
 import org.jujubelead.platform.wire.decodeStoredValue
 import org.jujubelead.platform.wire.encodeOrder
 import java.util.concurrent.CountDownLatch
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -90,6 +92,8 @@
     private var leader: HttpClient? = null
     private var leaderAliveUntil = Timestamp.ZERO
     private var coordinator: GroupCoordinator? = null
+    private val coordinatorStart =
+        RepeatingTask(loop, "coordinator start", waitTime = { COORDINATOR_RETRY_INTERVAL }, work = ::startCoordinator)
     private val stopped = CountDownLatch(1)
 
     /** Runs the agent until [stop] is called. */
@@ -166,7 +170,7 @@
         to.post(RankPaths.STATUS, rankJson.encodeToString(RankStatus.serializer(), status)) { answered ->
             // A lost status is not resent; the next one replaces it.
             val body = answered.successBody() ?: return@post
-            reply = rankJson.decodeFromString(StatusReply.serializer(), body)
+            reply = decode(StatusReply.serializer(), body) ?: return@post
             leaderAliveUntil = ProcessClock.now() + reply.interval.milliseconds + LEADER_TIMEOUT
         }
     }
@@ -200,7 +204,7 @@
     }
 
     private fun handleOrder(body: String, answer: (TextResponse) -> Unit) {
-        val order = rankJson.decodeFromString(RankOrder.serializer(), body)
+        val order = decode(RankOrder.serializer(), body) ?: return answer(UNREADABLE)
         if (order.term < term || !termKnown) {
             log.log(
                 LogEvent.ORDER_REFUSED,
@@ -245,16 +249,23 @@
 
     private fun handleStatus(body: String, answer: (TextResponse) -> Unit) {
         val to = coordinator ?: return answer(TextResponse(STATUS_UNAVAILABLE, "this agent is not the coordinator\n"))
-        val reply = to.onStatus(rankJson.decodeFromString(RankStatus.serializer(), body))
+        val reply = to.onStatus(decode(RankStatus.serializer(), body) ?: return answer(UNREADABLE))
         answer(TextResponse(STATUS_OK, rankJson.encodeToString(StatusReply.serializer(), reply)))
     }
 
     private fun handleLeaderAnnouncement(body: String, answer: (TextResponse) -> Unit) {
-        val announcement = rankJson.decodeFromString(LeaderAnnouncement.serializer(), body)
+        val announcement = decode(LeaderAnnouncement.serializer(), body) ?: return answer(UNREADABLE)
         Endpoint.parse(announcement.leader)?.let { election.onAnnouncement(it, Revision(announcement.term)) }
         answer(TextResponse(STATUS_OK, ""))
     }
 
+    /** Returns null if [body] is not such a message: the address may belong to another process by now. */
+    private fun <T : Any> decode(deserializer: DeserializationStrategy<T>, body: String): T? =
+        decodeJson(deserializer.descriptor.serialName, deserializer, body).getOrElse {
+            log.log(LogEvent.RANK_UNREADABLE, "detail" to it.detail)
+            null
+        }
+
     private fun leadershipChanged(now: Leadership) {
         coordinator?.stop()
         coordinator = null
@@ -272,31 +283,36 @@
             leader = address?.let { HttpClient(it, loop, REPLICA_TIMEOUT) }
         }
         leaderAliveUntil = ProcessClock.now() + LEADER_TIMEOUT
-        if (now is Leadership.Leader) startCoordinator(now.since) else report()
+        if (now is Leadership.Leader) coordinatorStart.request() else report()
     }
 
-    /** Reads the expert layout from the configuration and starts the coordinator. */
-    private fun startCoordinator(since: Revision) {
-        store.get(StoreRequests.CONFIGURATION_PATH) { result ->
-            val body = result.successBody()
-            val layout = body?.let { expertLayout(it, service) }
-            if (election.leadership != Leadership.Leader(since)) return@get
-            if (layout == null) {
-                loop.schedule({ startCoordinator(since) }, RETRY_MILLIS, TimeUnit.MILLISECONDS)
-            } else {
-                coordinator = GroupCoordinator(
-                    loop = loop,
-                    log = log,
-                    layout = layout,
-                    since = since,
-                    ownRank = { rank ?: 0 },
-                    confirmLeadership = election::confirmLeadership,
-                    reporter = SlowRankReporter(own.host, service, since.value, store, loop),
-                )
-                announceLeader(since)
-                report()
-            }
-        }
+    /** Reads the expert layout from the configuration and starts the coordinator, if this agent leads without one. */
+    private fun startCoordinator(turn: RepeatingTask.Turn) {
+        val term = election.leadership as? Leadership.Leader
+        if (term == null || coordinator != null) return turn.endIdle()
+        store.get(
+            StoreRequests.CONFIGURATION_PATH,
+            turn.step { result ->
+                val layout = result.successBody()?.let { expertLayout(it, service) }
+                if (layout == null || election.leadership != term) return@step turn.end()
+                startCoordinator(term.since, layout)
+                turn.endIdle()
+            },
+        )
+    }
+
+    private fun startCoordinator(since: Revision, layout: ExpertLayout) {
+        coordinator = GroupCoordinator(
+            loop = loop,
+            log = log,
+            layout = layout,
+            since = since,
+            ownRank = { rank ?: 0 },
+            confirmLeadership = election::confirmLeadership,
+            reporter = SlowRankReporter(own.host, service, since.value, store, loop),
+        )
+        announceLeader(since)
+        report()
     }
 
     /**
@@ -366,7 +382,8 @@
 
         /** Loading experts and reaching a switch takes well under a second. */
         val MAP_CHANGE_TIME: Duration = 1_000.milliseconds
-        const val RETRY_MILLIS = 500L
+        val COORDINATOR_RETRY_INTERVAL: Duration = 500.milliseconds
+        val UNREADABLE = TextResponse(400, "unreadable message\n")
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
         const val STATUS_REFUSED = 409
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
@@ -15,17 +15,17 @@
 import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.time.ClockReading
+import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.successBody
+import org.jujubelead.gateway.schedule.RepeatingTask
+import org.jujubelead.gateway.schedule.guarded
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.LeaseId
 import org.jujubelead.platform.wire.StoreRequests
-import org.jujubelead.platform.wire.decodeLease
-import org.jujubelead.platform.wire.decodeStoredValue
-import org.jujubelead.platform.wire.decodeWriteRevision
-import java.util.concurrent.TimeUnit
+import org.jujubelead.platform.wire.WireDecoders
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -54,24 +54,32 @@
  */
 public class LeaderElection(
     private val store: HttpClient,
-    private val loop: EventLoop,
+    loop: EventLoop,
     private val log: EventLog,
     private val key: String,
     private val self: Endpoint,
     private val candidateIndex: () -> Int,
     private val leaderAnswers: () -> Boolean,
+    private val decoders: WireDecoders = WireDecoders,
     private val onChange: (Leadership) -> Unit,
 ) {
     private var lease: LeaseId? = null
     private var renewedAt: ClockReading? = null
 
+    /** When to try to take over a vacant key; null unless it was found vacant. */
+    private var campaignAt: Timestamp? = null
+    private val steps = RepeatingTask(loop, "leader election", waitTime = ::timeToNextStep, work = ::step)
+
     /** Latest revision at which a process is known to have become the leader. */
     private var latestTerm = Revision(0)
 
     public var leadership: Leadership = Leadership.Unknown
         private set
 
-    public fun start(): Unit = scheduleStep(INITIAL_DELAY)
+    /** The leadership that [onChange] has handled last; null if it failed to. */
+    private var handled: Leadership? = Leadership.Unknown
+
+    public fun start(): Unit = steps.start(INITIAL_DELAY)
 
     /** Checks whether this process is still the leader at a moment after the call. */
     public fun confirmLeadership(done: (Boolean) -> Unit) {
@@ -88,63 +96,85 @@
         if (since > latestTerm && leader != self) transitionTo(Leadership.Follower(leader, since))
     }
 
-    private fun step() {
+    private fun timeToNextStep(): Duration = campaignAt?.let { it - ProcessClock.now() }
+        ?: if (leadership is Leadership.Leader) RENEW_INTERVAL else READ_INTERVAL
+
+    private fun step(turn: RepeatingTask.Turn) {
+        // A change that could not be handled is handled again; the lease is renewed meanwhile.
+        guarded("leadership", ::handleChange)
+        if (campaignAt != null) {
+            campaignAt = null
+            return campaignIfVacant(turn)
+        }
         when (leadership) {
-            is Leadership.Leader -> renew()
-            is Leadership.Follower -> if (leaderAnswers()) scheduleStep(READ_INTERVAL) else readLeader()
-            is Leadership.Unknown -> readLeader()
+            is Leadership.Leader -> renew(turn)
+            is Leadership.Follower -> if (leaderAnswers()) turn.end() else readLeader(turn)
+            is Leadership.Unknown -> readLeader(turn)
         }
     }
 
-    private fun readLeader() {
+    private fun readLeader(turn: RepeatingTask.Turn) {
         // Without a known leader, a stale read would return the previous state and delay the election.
         val path = if (leadership is Leadership.Unknown) {
             StoreRequests.readPath(key)
         } else {
             StoreRequests.staleReadPath(key)
         }
-        store.get(path) { result ->
-            val answer = result.get()
-            when (answer?.status) {
-                STATUS_OK -> onLeaderFound(answer.body)
-
-                STATUS_NOT_FOUND -> loop.schedule(
-                    ::campaignIfVacant,
-                    candidateIndex() * CANDIDATE_DELAY_MILLIS,
-                    TimeUnit.MILLISECONDS,
-                )
-
-                else -> scheduleStep(READ_INTERVAL)
-            }
-        }
+        store.get(
+            path,
+            turn.step { result ->
+                val answer = result.get()
+                if (answer?.status == STATUS_OK) return@step onLeaderFound(answer.body, turn)
+                if (answer?.status == STATUS_NOT_FOUND) {
+                    campaignAt = ProcessClock.now() + CANDIDATE_DELAY * candidateIndex()
+                }
+                turn.end()
+            },
+        )
     }
 
-    private fun onLeaderFound(body: String) {
-        val stored = decodeStoredValue(body).getOrElse {
+    private fun onLeaderFound(body: String, turn: RepeatingTask.Turn) {
+        val stored = decoders.storedValue(body).getOrElse {
             log.log(LogEvent.LEADER_UNREADABLE, "key" to key, "detail" to it.detail)
-            return scheduleStep(READ_INTERVAL)
+            return turn.end()
         }
         val leader = Endpoint.parse(stored.text)
-        if (leader == self) return campaign(replacing = stored.revision)
+        if (leader == self) return campaign(replacing = stored.revision, turn)
         // A stale read may return an earlier leader.
         if (leader != null && stored.revision >= latestTerm) transitionTo(Leadership.Follower(leader, stored.revision))
-        scheduleStep(READ_INTERVAL)
+        turn.end()
     }
 
-    private fun campaignIfVacant() {
+    private fun campaignIfVacant(turn: RepeatingTask.Turn) {
         val leaderAlive = leadership is Leadership.Follower && leaderAnswers()
-        if (leaderAlive) scheduleStep(READ_INTERVAL) else campaign(replacing = null)
+        if (leaderAlive) turn.end() else campaign(replacing = null, turn)
     }
 
     /** Tries to become the leader, if there is none or by replacing the key of this process's previous run. */
-    private fun campaign(replacing: Revision?) {
+    private fun campaign(replacing: Revision?, turn: RepeatingTask.Turn) {
         val requestedAt = ProcessClock.read()
-        store.post(StoreRequests.LEASE_PATH, StoreRequests.grantLease(LEASE_TIME)) { result ->
-            val granted = result.successBody()?.let { decodeLease(it).get() }
-            if (granted == null) return@post scheduleStep(READ_INTERVAL)
-            val write = StoreRequests.replaceWithLease(key, replacing, self.toString(), granted)
-            store.post(StoreRequests.TRANSACTION_PATH, write) { written ->
-                val since = written.successBody()?.let { decodeWriteRevision(it).get() }
+        store.post(
+            StoreRequests.LEASE_PATH,
+            StoreRequests.grantLease(LEASE_TIME),
+            done = turn.step { result ->
+                val granted = result.successBody()?.let { decoders.lease(it).get() }
+                if (granted == null) turn.end() else takeOver(replacing, granted, requestedAt, turn)
+            },
+        )
+    }
+
+    private fun takeOver(
+        replacing: Revision?,
+        granted: LeaseId,
+        requestedAt: ClockReading,
+        turn: RepeatingTask.Turn,
+    ) {
+        val write = StoreRequests.replaceWithLease(key, replacing, self.toString(), granted)
+        store.post(
+            StoreRequests.TRANSACTION_PATH,
+            write,
+            done = turn.lastStep { written ->
+                val since = written.successBody()?.let { decoders.writeRevision(it).get() }
                 if (since != null) {
                     lease = granted
                     renewedAt = requestedAt
@@ -158,25 +188,27 @@
                         "millis" to ProcessClock.read().since(requestedAt).inWholeMilliseconds,
                     )
                 }
-                scheduleStep(if (since != null) RENEW_INTERVAL else READ_INTERVAL)
-            }
-        }
+            },
+        )
     }
 
-    private fun renew() {
+    private fun renew(turn: RepeatingTask.Turn) {
         val held = lease
         val last = renewedAt
         val now = ProcessClock.read()
         if (held == null || last == null || now.since(last) > LEASE_TIME * TRUSTED_LEASE_FRACTION) {
             transitionTo(Leadership.Unknown)
-            return scheduleStep(READ_INTERVAL)
-        }
-        store.post(StoreRequests.renewLeasePath(held), "") { result ->
-            val status = result.get()?.status
-            if (status == STATUS_OK) renewedAt = now
-            if (status == STATUS_NOT_FOUND) transitionTo(Leadership.Unknown)
-            scheduleStep(RENEW_INTERVAL)
+            return turn.end()
         }
+        store.post(
+            StoreRequests.renewLeasePath(held),
+            "",
+            done = turn.lastStep { result ->
+                val status = result.get()?.status
+                if (status == STATUS_OK) renewedAt = now
+                if (status == STATUS_NOT_FOUND) transitionTo(Leadership.Unknown)
+            },
+        )
     }
 
     private fun transitionTo(next: Leadership) {
@@ -186,11 +218,15 @@
             log.log(LogEvent.LEADERSHIP_CHANGED, "key" to key, "before" to leadership, "now" to next)
         }
         leadership = next
-        onChange(next)
+        handleChange()
     }
 
-    private fun scheduleStep(wait: Duration) {
-        loop.schedule(::step, wait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    private fun handleChange() {
+        val current = leadership
+        if (handled == current) return
+        handled = null
+        onChange(current)
+        handled = current
     }
 
     private companion object {
@@ -204,7 +240,7 @@
         val INITIAL_DELAY: Duration = 50.milliseconds
 
         /** A few times the duration of taking the key and announcing it, on a busy small instance. */
-        const val CANDIDATE_DELAY_MILLIS = 60L
+        val CANDIDATE_DELAY: Duration = 60.milliseconds
         const val STATUS_OK = 200
         const val STATUS_NOT_FOUND = 404
         const val STATUS_CONFLICT = 412
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
@@ -6,6 +6,7 @@
  */
 package org.jujubelead.gateway.store
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.onFailure
@@ -14,14 +15,16 @@
 import org.jujubelead.core.replica.ReplicaDirectory
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
+import org.jujubelead.gateway.net.CallFailure
 import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.net.TextResponse
+import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.ReplicaPage
 import org.jujubelead.platform.wire.StoreRequests
-import org.jujubelead.platform.wire.decodeReplicaPage
-import java.util.concurrent.TimeUnit
+import org.jujubelead.platform.wire.WireDecoders
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -31,10 +34,11 @@
  */
 public class ReplicaPoller(
     private val store: HttpClient,
-    private val loop: EventLoop,
+    loop: EventLoop,
     private val log: EventLog,
     private val pollInterval: Duration,
     private val relay: ReplicaRelay,
+    private val decoders: WireDecoders = WireDecoders,
     private val onChange: (List<Replica>) -> Unit,
     private val onLost: (String) -> Unit,
 ) {
@@ -42,40 +46,75 @@
     private var known: List<Replica>? = null
     private var unreadableKeys: List<String> = emptyList()
 
-    public fun start(): Unit = loop.execute(::poll)
+    /** When the current read of the store began, or when the zone's reader answered. */
+    private var polledAt = Timestamp.ZERO
+    private var fromRelay = false
+    private val polls = RepeatingTask(loop, "replica list", waitTime = ::timeToNextPoll, work = ::poll)
 
-    private fun poll() {
-        if (!relay.hasZoneReader) return readStore()
-        relay.fetch { pages, sentAt ->
-            if (pages == null) return@fetch readStore()
-            // Polling goes on whatever happens to this list.
-            schedulePoll(ProcessClock.now(), pollInterval / RELAY_POLL_RATE)
-            val read = pages.mapNotNull(::decode)
-            if (read.size == pages.size) applyPages(read, sentAt)
+    public fun start(): Unit = polls.start()
+
+    private fun timeToNextPoll(): Duration {
+        val interval = when {
+            fromRelay -> pollInterval / RELAY_POLL_RATE
+            known == null -> INITIAL_POLL_INTERVAL
+            else -> pollInterval
+        }
+        return (polledAt + interval - ProcessClock.now()).coerceAtLeast(MIN_POLL_DELAY)
+    }
+
+    private fun poll(turn: RepeatingTask.Turn) {
+        if (!relay.hasZoneReader) return readStore(turn)
+        val onPages = turn.step { (pages, sentAt): Pair<List<String>?, Timestamp> ->
+            if (pages == null) readStore(turn) else onSharedList(pages, sentAt, turn)
         }
+        relay.fetch { pages, sentAt -> onPages(pages to sentAt) }
     }
 
-    private fun readStore() = readPage(after = null, bodies = emptyList(), pages = emptyList(), ProcessClock.read())
+    private fun onSharedList(pages: List<String>, sentAt: Timestamp, turn: RepeatingTask.Turn) {
+        polledAt = ProcessClock.now()
+        fromRelay = true
+        val read = pages.mapNotNull(::decode)
+        if (read.size == pages.size) applyPages(read, sentAt)
+        turn.end()
+    }
+
+    private fun readStore(turn: RepeatingTask.Turn) {
+        val sentAt = ProcessClock.read()
+        polledAt = sentAt.monotonic
+        fromRelay = false
+        readPage(after = null, bodies = emptyList(), pages = emptyList(), sentAt, turn)
+    }
 
-    private fun readPage(after: String?, bodies: List<String>, pages: List<ReplicaPage>, sentAt: ClockReading) {
-        store.get(StoreRequests.replicaPagePath(after)) { result ->
+    private fun readPage(
+        after: String?,
+        bodies: List<String>,
+        pages: List<ReplicaPage>,
+        sentAt: ClockReading,
+        turn: RepeatingTask.Turn,
+    ) {
+        val onAnswer = turn.step { result: Result<TextResponse, CallFailure> ->
             result.onFailure { onReadFailed(it.detail) }
             val answer = result.get()
             if (answer != null && answer.status != STATUS_OK) onReadFailed("status ${answer.status}")
             val body = answer?.takeIf { it.status == STATUS_OK }?.body
             val page = body?.let(::decode)
             val next = page?.next
-            if (body != null && next != null) return@get readPage(next, bodies + body, pages + page, sentAt)
-            // Polling goes on whatever happens to this list.
-            schedulePoll(sentAt.monotonic, if (known == null && page == null) INITIAL_POLL_INTERVAL else pollInterval)
-            if (body != null && page != null) {
-                relay.recordRead(sentAt, bodies + body)
-                applyPages(pages + page, sentAt.monotonic)
+            when {
+                body == null || page == null -> turn.end()
+
+                next != null -> readPage(next, bodies + body, pages + page, sentAt, turn)
+
+                else -> {
+                    relay.recordRead(sentAt, bodies + body)
+                    applyPages(pages + page, sentAt.monotonic)
+                    turn.end()
+                }
             }
         }
+        store.get(StoreRequests.replicaPagePath(after), onAnswer)
     }
 
-    private fun decode(body: String): ReplicaPage? = decodeReplicaPage(body).getOrElse {
+    private fun decode(body: String): ReplicaPage? = decoders.replicaPage(body).getOrElse {
         onReadFailed(it.detail)
         null
     }
@@ -88,8 +127,8 @@
     private fun applyPages(pages: List<ReplicaPage>, sentAt: Timestamp) {
         reportUnreadable(pages.flatMap { it.unreadableKeys })
         val revision = pages.last().revision
-        val changed = directory.applyListing(pages.flatMap { it.replicas }, revision, sentAt)
-        if (!changed && known != null) return
+        directory.applyListing(pages.flatMap { it.replicas }, revision, sentAt)
+        if (directory.replicas == known) return
         val before = known.orEmpty().mapTo(HashSet()) { it.id.value }
         val after = directory.replicas.mapTo(HashSet()) { it.id.value }
         log.log(
@@ -100,8 +139,8 @@
             "revision" to revision,
             "ageMillis" to (ProcessClock.now() - sentAt).inWholeMilliseconds,
         )
-        known = directory.replicas
         onChange(directory.replicas)
+        known = directory.replicas
     }
 
     private fun reportUnreadable(keys: List<String>) {
@@ -111,11 +150,6 @@
         log.log(LogEvent.REPLICA_ENTRIES_UNREADABLE, "count" to keys.size, "keys" to listed)
     }
 
-    private fun schedulePoll(since: Timestamp, interval: Duration) {
-        val wait = (since + interval - ProcessClock.now()).coerceAtLeast(MIN_POLL_DELAY)
-        loop.schedule(::poll, wait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-    }
-
     private companion object {
         /**
          * The zone's reader is polled more often than it polls the store, so that sharing adds only a third of an
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
@@ -12,29 +12,28 @@
 import io.netty.channel.EventLoop
 import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.time.ClockReading
-import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.quarantine.EvidenceStore
+import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.StoreRequests
 import org.jujubelead.platform.wire.StoredValue
-import org.jujubelead.platform.wire.decodeConfiguration
-import org.jujubelead.platform.wire.decodeConflict
-import java.util.concurrent.TimeUnit
+import org.jujubelead.platform.wire.WireDecoders
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** @param onChange receives each new state. */
 internal class StorePoller(
     private val store: HttpClient,
-    private val loop: EventLoop,
+    loop: EventLoop,
     private val log: EventLog,
     private val pollInterval: Duration,
     relay: ReplicaRelay,
     private val evidence: EvidenceStore,
+    private val decoders: WireDecoders = WireDecoders,
     private val onChange: (ControlState) -> Unit,
 ) {
     private var state = ControlState()
@@ -45,30 +44,39 @@
         log = log,
         pollInterval = pollInterval,
         relay = relay,
+        decoders = decoders,
         onChange = { list ->
             state = state.copy(replicas = list)
             onChange(state)
         },
         onLost = ::onStoreLost,
     )
+    private var polledAt = ProcessClock.now()
+    private val polls =
+        RepeatingTask(loop, "configuration", waitTime = ::timeToNextPoll, work = ::pollConfiguration)
 
     public fun start() {
-        loop.execute(::pollConfiguration)
+        polls.start()
         replicas.start()
     }
 
-    private fun pollConfiguration() {
+    private fun timeToNextPoll(): Duration {
+        val interval = if (state.configuration == null) INITIAL_POLL_INTERVAL else pollInterval
+        return (polledAt + interval - ProcessClock.now()).coerceAtLeast(MIN_POLL_DELAY)
+    }
+
+    private fun pollConfiguration(turn: RepeatingTask.Turn) {
         val sentAt = ProcessClock.read()
+        polledAt = sentAt.monotonic
         val known = state.configuration?.revision
         val revisions = mapOf(StoreRequests.CONFIGURATION_KEY to known, EvidenceStore.KEY to evidence.revision)
-        store.post(StoreRequests.TRANSACTION_PATH, StoreRequests.compareRevisions(revisions)) { result ->
-            try {
+        store.post(
+            StoreRequests.TRANSACTION_PATH,
+            StoreRequests.compareRevisions(revisions),
+            done = turn.lastStep { result ->
                 result.fold({ onConfigurationResponse(it, known, sentAt) }, { onStoreLost(it.detail) })
-            } finally {
-                // Polling goes on whatever happens to this response.
-                schedulePoll(sentAt.monotonic, state.configuration != null, ::pollConfiguration)
-            }
-        }
+            },
+        )
     }
 
     private fun onConfigurationResponse(answer: TextResponse, known: Revision?, sentAt: ClockReading) {
@@ -78,7 +86,7 @@
             answer.status == STATUS_OK -> onStoreRegained()
 
             answer.status == STATUS_CONFLICT -> {
-                val current = decodeConflict(answer.body).getOrElse { return unreadable(it.detail) }
+                val current = decoders.conflict(answer.body).getOrElse { return unreadable(it.detail) }
                 current[EvidenceStore.KEY]?.let(evidence::onStored)
                 current[StoreRequests.CONFIGURATION_KEY]?.let { apply(it, sentAt) }
             }
@@ -92,7 +100,7 @@
         val known = state.configuration
         if (known != null && stored.revision == known.revision) return onConfirmed(sentAt)
         if (known != null && stored.revision < known.revision) return
-        val read = decodeConfiguration(stored.text, stored.revision).getOrElse { return unreadable(it.detail) }
+        val read = decoders.configuration(stored.text, stored.revision).getOrElse { return unreadable(it.detail) }
         log.log(
             LogEvent.CONFIGURATION_APPLIED,
             "version" to read.version,
@@ -123,12 +131,6 @@
         storeLost = false
     }
 
-    private fun schedulePoll(sentAt: Timestamp, initialized: Boolean, poll: () -> Unit) {
-        val interval = if (initialized) pollInterval else INITIAL_POLL_INTERVAL
-        val wait = (sentAt + interval - ProcessClock.now()).coerceAtLeast(MIN_POLL_DELAY)
-        loop.schedule(poll, wait.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-    }
-
     private companion object {
         /** Shorter until the first successful read, since the instance serves nothing before it. */
         val INITIAL_POLL_INTERVAL: Duration = 150.milliseconds
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/DefectReporter.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/DefectReporter.kt
@@ -5,9 +5,6 @@
  */
 package org.jujubelead.gateway.telemetry
 
-import io.netty.channel.EventLoop
-import java.util.concurrent.TimeUnit
-
 public object DefectReporter {
     @Volatile
     private var log: EventLog? = null
@@ -22,19 +19,3 @@
         log?.log(LogEvent.DEFECT, "where" to where, "cause" to cause.toString(), "at" to at)
     }
 }
-
-/**
- * Schedules [task] periodically. If it throws, the exception is reported and the task keeps its schedule; the event
- * loop would cancel it silently.
- */
-public fun EventLoop.scheduleRepeating(millis: Long, where: String, task: () -> Unit) {
-    scheduleWithFixedDelay({ guarded(where, task) }, millis, millis, TimeUnit.MILLISECONDS)
-}
-
-private fun guarded(where: String, task: () -> Unit) {
-    try {
-        task()
-    } catch (e: Throwable) {
-        DefectReporter.report(where, e)
-    }
-}
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/telemetry/EventLogTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/telemetry/EventLogTest.kt
@@ -1,6 +1,7 @@
 package org.jujubelead.gateway.telemetry
 
 import io.netty.channel.DefaultEventLoop
+import org.jujubelead.gateway.schedule.scheduleRepeating
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -63,7 +64,7 @@
         DefectReporter.reportTo(log)
         val loop = DefaultEventLoop()
         val runs = CountDownLatch(3)
-        loop.scheduleRepeating(millis = 5, where = "test") {
+        loop.scheduleRepeating(millis = 5, name = "test") {
             runs.countDown()
             error("broken")
         }
