Free a rank whose order has an answer that cannot be handled

Callers would have seen a group that is held, or keeps its first expert map, until its coordinator changes.

Cause: the answer of an agent to an order was decoded by a function that throws. The mark of an order in flight, the number of maps in flight and the marks of a read of held experts and of a confirmation of the leadership were reset only behind it.

Change: messages between agents are decoded to an error. An agent whose answer cannot be read counts as silent, so that an order that ends a hold bypasses it. InProgress replaces the marks: each ends at a deadline in any case.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -24,10 +24,12 @@
 import org.jujubelead.core.route.ExpertLayout
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.schedule.InProgress
 import org.jujubelead.gateway.schedule.scheduleRepeating
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.HeldExperts
+import org.jujubelead.platform.wire.WireDecoders
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -49,14 +51,15 @@
     private val confirmLeadership: ((Boolean) -> Unit) -> Unit,
     private val reporter: SlowRankReporter,
     private val planInterval: Duration = PLAN_INTERVAL,
+    private val decoders: WireDecoders = WireDecoders,
 ) {
     private val clients = HashMap<Endpoint, RankClient>()
     private val change =
         MapChange(versionFloor = MapVersion(since.value * MAX_VERSIONS_PER_TERM), holder = ::holder)
     private val planner = MapPlanner(layout)
     private var plannedAt = Timestamp.ZERO
-    private var confirmingLeadership = false
-    private var readingHeldExperts = false
+    private val confirmation = InProgress(MAX_CONFIRMATION_TIME)
+    private val heldExpertsRead = InProgress(MAX_HELD_EXPERTS_TIME)
     private var stopped = false
     private var lastPhase: ChangePhase = ChangePhase.Idle
     private var wasComplete = false
@@ -72,11 +75,11 @@
     private val changeInterval: Duration get() = maxOf(MIN_CHANGE_INTERVAL, CHANGE_INTERVAL_PER_RANK * clients.size)
     private var ended = false
 
-    init {
-        loop.scheduleRepeating(TICK_MILLIS, "map change", ::tick)
-        loop.scheduleRepeating(LOAD_LOG_MILLIS, "group load", ::logLoad)
-        loop.scheduleRepeating(REPORT_MILLIS, "group report", ::reportSlowRanks)
-    }
+    private val tasks = listOf(
+        loop.scheduleRepeating(TICK_MILLIS, "map change", ::tick),
+        loop.scheduleRepeating(LOAD_LOG_MILLIS, "group load", ::logLoad),
+        loop.scheduleRepeating(REPORT_MILLIS, "group report", ::reportSlowRanks),
+    )
 
     /**
      * Handles the status of an agent. Only statuses of this term count, since their agents refuse orders of earlier
@@ -92,7 +95,7 @@
         val replica = Endpoint.parse(status.replica) ?: return
         val agent = Endpoint.parse(status.agent) ?: return
         val client = clients[replica]?.takeIf { it.agent == agent }
-            ?: RankClient(agent, replica, since.value, loop, log).also { clients.put(replica, it)?.close() }
+            ?: RankClient(agent, replica, since.value, loop, log, decoders).also { clients.put(replica, it)?.close() }
         client.onReading(status.observed)
         planner.recordChoices(status.firstSet, CompactCounts(status.choiceUnit, status.choices).counts(), now)
         evaluateSoon()
@@ -121,6 +124,7 @@
 
     private fun end() {
         ended = true
+        tasks.forEach { it.stop() }
         reporter.close()
         clients.values.forEach { it.close() }
         clients.clear()
@@ -212,10 +216,10 @@
     private fun client(rank: Int): RankClient? = clients.values.firstOrNull { it.observation?.rank == rank }
 
     private fun confirmStillLeader() {
-        if (confirmingLeadership) return
-        confirmingLeadership = true
+        if (confirmation.at(ProcessClock.now())) return
+        confirmation.begin(ProcessClock.now())
         confirmLeadership { leads ->
-            confirmingLeadership = false
+            confirmation.end()
             val now = ProcessClock.now()
             val view = view(now)
             if (leads && change.complete(view)) change.leadershipConfirmed(view) else change.leadershipLost()
@@ -225,8 +229,8 @@
 
     /** Reads the experts that all ranks hold. */
     private fun readHeldExperts(view: Map<Int, RankObservation>) {
-        if (readingHeldExperts) return
-        readingHeldExperts = true
+        if (heldExpertsRead.at(ProcessClock.now())) return
+        heldExpertsRead.begin(ProcessClock.now())
         val version = view.values.map { it.map }.toSet().singleOrNull()
         val held = HashMap<Int, HeldExperts>()
         var pending = view.size
@@ -243,7 +247,7 @@
 
     /** Uses the experts of the ranks if all of them are those of the map of [version]. */
     private fun onHeldExperts(held: Map<Int, HeldExperts>, version: MapVersion?) {
-        readingHeldExperts = false
+        heldExpertsRead.end()
         val now = ProcessClock.now()
         val view = view(now)
         val whole = view.size == held.size && held.values.all { it.sets.size == layout.sets }
@@ -320,6 +324,12 @@
     }
 
     private companion object {
+        /** Longer than the timeout of the call to the store. */
+        val MAX_CONFIRMATION_TIME: Duration = 3.seconds
+
+        /** Longer than the timeout of the calls to the agents, which are made at the same time. */
+        val MAX_HELD_EXPERTS_TIME: Duration = 3.seconds
+
         /** Observations are not used after this number of status intervals. */
         const val MAX_AGE_INTERVALS = 4
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/OrderRelay.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/OrderRelay.kt
@@ -13,6 +13,7 @@
 import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
+import org.jujubelead.platform.wire.decodeJson
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -46,8 +47,11 @@
         val client = HttpClient(agent, loop, if (complete == null) SMALL_ORDER_TIMEOUT else MAP_TIMEOUT)
         val ended = { status: Int?, body: String? ->
             client.close()
-            if (body == null) log.log(LogEvent.ORDER_NOT_RELAYED, "agent" to agent, "status" to status)
-            done(RelayedResult(address, body?.let { rankJson.decodeFromString(OrderResult.serializer(), it) }))
+            val result = body?.let { decodeJson("order result", OrderResult.serializer(), it).get() }
+            if (result == null) {
+                log.log(LogEvent.ORDER_NOT_RELAYED, "agent" to agent, "status" to status, "answered" to (body != null))
+            }
+            done(RelayedResult(address, result))
         }
         client.post(RankPaths.ORDER, order) { first ->
             if (first.get()?.status == STATUS_NOT_FOUND && complete != null) {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankClient.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankClient.kt
@@ -9,6 +9,7 @@
  */
 package org.jujubelead.gateway.rank
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import io.netty.channel.EventLoop
@@ -16,15 +17,18 @@
 import org.jujubelead.core.expertmap.RankObservation
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.time.Timestamp
+import org.jujubelead.gateway.net.CallFailure
 import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.net.successBody
+import org.jujubelead.gateway.schedule.InProgress
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.HeldExperts
 import org.jujubelead.platform.wire.RankEndpoints
-import org.jujubelead.platform.wire.decodeHeldExperts
-import org.jujubelead.platform.wire.decodeRankReport
+import org.jujubelead.platform.wire.WireDecoders
+import org.jujubelead.platform.wire.decodeJson
 import org.jujubelead.platform.wire.encodeOrder
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -37,6 +41,7 @@
     private val term: Long,
     loop: EventLoop,
     private val log: EventLog,
+    private val decoders: WireDecoders = WireDecoders,
 ) {
     private val agentClient = HttpClient(agent, loop, ORDER_TIMEOUT)
     private val replicaClient = HttpClient(replica, loop, DIRECT_TIMEOUT)
@@ -45,13 +50,13 @@
     /** True if the agent does not know the map that the last order was based on. */
     private var needsFullMap = false
     private var lastAgentContactAt = ProcessClock.now()
-    private var directReadInFlight = false
+    private val directRead = InProgress(MAX_CALL_TIME)
     private var nextDirectReadAt = Timestamp.ZERO
 
     var observation: RankObservation? = null
         private set
     private var readAtMicros = Long.MIN_VALUE
-    private var orderInFlight = false
+    private val orderInFlight = InProgress(MAX_CALL_TIME)
     private var nextSendAt = Timestamp.ZERO
     private var accepted: MapOrder? = null
     private var acceptedAt = Timestamp.ZERO
@@ -66,10 +71,10 @@
      */
     fun readDirectly(done: () -> Unit) {
         val now = ProcessClock.now()
-        if (directReadInFlight || now < nextDirectReadAt) return
-        directReadInFlight = true
+        if (directRead.at(now) || now < nextDirectReadAt) return
+        directRead.begin(now)
         replicaClient.get(RankEndpoints.REPORT_PATH) { result ->
-            directReadInFlight = false
+            directRead.end()
             val report = result.successBody()
             nextDirectReadAt = ProcessClock.now() + if (report == null) FAILED_READ_DELAY else DIRECT_READ_INTERVAL
             if (report != null && update(report, ProcessClock.now())) done()
@@ -89,7 +94,7 @@
     }
 
     private fun update(report: String, now: Timestamp): Boolean {
-        val read = decodeRankReport(report, now).getOrElse {
+        val read = decoders.rankReport(report, now).getOrElse {
             log.log(LogEvent.RANK_UNREADABLE, "replica" to replica, "detail" to it.detail)
             return false
         }
@@ -110,8 +115,8 @@
         val seen = observation ?: return false
         val now = ProcessClock.now()
         if (!isDue(order, now)) return false
-        orderInFlight = true
-        relayTo.forEach { it.orderInFlight = true }
+        orderInFlight.begin(now)
+        relayTo.forEach { it.orderInFlight.begin(now) }
         val endsHold = order is MapOrder.Arm || order is MapOrder.Release
         if (silent(now, silenceTimeout) && endsHold) {
             sendDirectly(order, encodeOrder(order, seen.epoch), now, done)
@@ -124,7 +129,7 @@
     /** True unless an order is in flight or [order] was accepted recently and may not be visible yet. */
     fun isDue(order: MapOrder, now: Timestamp): Boolean {
         val pendingEffect = order == accepted && now - acceptedAt < REPEAT_DELAY
-        return observation != null && !orderInFlight && !pendingEffect && now >= nextSendAt
+        return observation != null && !orderInFlight.at(now) && !pendingEffect && now >= nextSendAt
     }
 
     private fun sendThroughAgent(
@@ -151,21 +156,42 @@
         val message = rankJson.encodeToString(RankOrder.serializer(), forAgent)
         val timeout = if (order is MapOrder.Prepare && relayTo.isNotEmpty()) RELAYED_MAP_TIMEOUT else ORDER_TIMEOUT
         agentClient.post(RankPaths.ORDER, message, timeout) { result ->
-            needsFullMap = result.get()?.status == STATUS_NOT_FOUND
-            val outcome = result.successBody()?.let { rankJson.decodeFromString(OrderResult.serializer(), it) }
-            orderEnded(order, outcome, answered = result.get() != null, sentAt)
-            val relayed = outcome?.relayed.orEmpty().associateBy { it.agent }
-            for (client in relayTo) {
-                val ofClient = relayed[client.agent.toString()]?.result
-                client.orderEnded(order, ofClient, answered = outcome == null || ofClient != null, sentAt)
+            try {
+                onOrderAnswer(order, result, relayTo, sentAt)
+            } finally {
+                done()
             }
-            done()
         }
     }
 
+    private fun onOrderAnswer(
+        order: MapOrder,
+        result: Result<TextResponse, CallFailure>,
+        relayTo: List<RankClient>,
+        sentAt: Timestamp,
+    ) {
+        needsFullMap = result.get()?.status == STATUS_NOT_FOUND
+        val body = result.successBody()
+        val outcome = body?.let(::decodeResult)
+        val answered = result.get() != null && (body == null || outcome != null)
+        orderEnded(order, outcome, answered, sentAt)
+        val relayed = outcome?.relayed.orEmpty().associateBy { it.agent }
+        for (client in relayTo) {
+            val ofClient = relayed[client.agent.toString()]?.result
+            client.orderEnded(order, ofClient, answered = outcome == null || ofClient != null, sentAt)
+        }
+    }
+
+    /** An agent whose answer cannot be read counts as silent, so that an order that ends a hold bypasses it. */
+    private fun decodeResult(body: String): OrderResult? =
+        decodeJson("order result", OrderResult.serializer(), body).getOrElse {
+            log.log(LogEvent.RANK_UNREADABLE, "agent" to agent, "detail" to it.detail)
+            null
+        }
+
     /** @param answered false if the agent of this rank was asked and did not answer. */
     private fun orderEnded(order: MapOrder, outcome: OrderResult?, answered: Boolean, sentAt: Timestamp) {
-        orderInFlight = false
+        orderInFlight.end()
         orderUnanswered = !answered
         logOrderEnd(order, outcome?.status, outcome?.observed?.report, sentAt)
         outcome?.observed?.let(::onReading)
@@ -187,7 +213,7 @@
     private fun sendDirectly(order: MapOrder, body: String, sentAt: Timestamp, done: () -> Unit) {
         replicaClient.post(RankEndpoints.ORDER_PATH, body) { result ->
             replicaClient.get(RankEndpoints.REPORT_PATH) { read ->
-                orderInFlight = false
+                orderInFlight.end()
                 val report = read.successBody()
                 logOrderEnd(order, result.get()?.status, report, sentAt)
                 if (report != null) update(report, ProcessClock.now())
@@ -220,7 +246,7 @@
     fun heldExperts(done: (HeldExperts?) -> Unit) {
         agentClient.get(RankPaths.HELD_EXPERTS) { result ->
             val body = result.successBody() ?: return@get done(null)
-            val held = decodeHeldExperts(body).getOrElse {
+            val held = decoders.heldExperts(body).getOrElse {
                 log.log(LogEvent.RANK_UNREADABLE, "replica" to replica, "detail" to it.detail)
                 null
             }
@@ -236,6 +262,9 @@
     private companion object {
         const val STATUS_NOT_FOUND = 404
 
+        /** Longer than any call of this client, or two of them. */
+        val MAX_CALL_TIME: Duration = 3.seconds
+
         /** Covers the agent's own timeouts for the order and the report after it, and the round trip. */
         val ORDER_TIMEOUT: Duration = 450.milliseconds
         val DIRECT_TIMEOUT: Duration = 250.milliseconds
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/GroupCoordinatorTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/GroupCoordinatorTest.kt
@@ -1,5 +1,6 @@
 package org.jujubelead.gateway.rank
 
+import com.github.michaelbull.result.Result
 import io.netty.channel.nio.NioEventLoopGroup
 import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.ids.ServiceId
@@ -12,6 +13,9 @@
 import org.jujubelead.gateway.net.listen
 import org.jujubelead.gateway.net.servicePipeline
 import org.jujubelead.gateway.telemetry.EventLog
+import org.jujubelead.platform.wire.DecodeError
+import org.jujubelead.platform.wire.HeldExperts
+import org.jujubelead.platform.wire.WireDecoders
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -23,6 +27,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -87,6 +92,9 @@
         )
     }
 
+    /** Number of times that the experts of a rank cannot be decoded. */
+    private val heldExpertsFailures = AtomicInteger()
+
     private val coordinator = GroupCoordinator(
         loop = loop,
         log = log,
@@ -108,6 +116,12 @@
             loop,
         ),
         planInterval = 100.milliseconds,
+        decoders = object : WireDecoders by WireDecoders {
+            override fun heldExperts(body: String): Result<HeldExperts, DecodeError> {
+                if (heldExpertsFailures.getAndDecrement() > 0) throw LinkageError("held experts")
+                return WireDecoders.heldExperts(body)
+            }
+        },
     )
 
     /** Reports that the tokens of all ranks chose mostly the first few experts, until all agents have a new map, or for [seconds]. */
@@ -161,6 +175,15 @@
         agents.forEach { expectThat(it.prepared).isNotNull() }
     }
 
+    /** Guards against a group that keeps its first map because one answer could not be handled. */
+    @Test
+    fun `the experts of the ranks are read again after an answer that could not be handled`() {
+        heldExpertsFailures.set(1)
+        val agents = List(RANKS) { Agent(it) }
+        reportUntilPrepared(agents)
+        agents.forEach { expectThat(it.prepared).isNotNull() }
+    }
+
     private companion object {
         const val RANKS = 40
     }
