Reject the term of an earlier write in the election

What a wrong answer to the write that takes the leadership did: the process led in the term of an earlier leader, agents refused its orders, and the group had no coordinator. A change of the map was still guarded, since the leadership is confirmed in the store before a switch.

Change: a revision that is not above the latest known term is no success; the next step finds the own key and replaces it in a new term. The test has the decoder return an earlier revision.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
@@ -174,7 +174,9 @@
             StoreRequests.TRANSACTION_PATH,
             write,
             done = turn.lastStep { written ->
-                val since = written.successBody()?.let { decoders.writeRevision(it).get() }
+                // The answer to an earlier write would name an earlier term.
+                val since =
+                    written.successBody()?.let { decoders.writeRevision(it).get() }?.takeIf { it > latestTerm }
                 if (since != null) {
                     lease = granted
                     renewedAt = requestedAt
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/store/LeaderElectionTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/store/LeaderElectionTest.kt
@@ -1,11 +1,15 @@
 package org.jujubelead.gateway.store
 
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import io.netty.channel.nio.NioEventLoopGroup
 import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.platform.standins.SimulatedStore
+import org.jujubelead.platform.wire.DecodeError
+import org.jujubelead.platform.wire.WireDecoders
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -27,7 +31,11 @@
     private val store = SimulatedStore()
     private val changes = LinkedBlockingQueue<Leadership>()
 
-    private fun election(own: Endpoint, leaderAnswers: () -> Boolean = { false }) = LeaderElection(
+    private fun election(
+        own: Endpoint,
+        decoders: WireDecoders = WireDecoders,
+        leaderAnswers: () -> Boolean = { false },
+    ) = LeaderElection(
         store = HttpClient(Endpoint("127.0.0.1", store.port), group.next(), 1.seconds),
         loop = group.next(),
         log = EventLog(),
@@ -35,6 +43,7 @@
         self = own,
         candidateIndex = { 0 },
         leaderAnswers = leaderAnswers,
+        decoders = decoders,
         onChange = { changes += it },
     )
 
@@ -62,6 +71,21 @@
         expectThat(nextChange()).isEqualTo(Leadership.Follower(first, Revision(since)))
     }
 
+    /** Guards against a leader in the term of an earlier one, whose orders its agents would refuse. */
+    @Test
+    fun `the answer to an earlier write does not make a leader of an earlier term`() {
+        var answers = 0
+        val decoders = object : WireDecoders by WireDecoders {
+            override fun writeRevision(body: String): Result<Revision, DecodeError> =
+                if (answers++ == 0) Ok(Revision(1)) else WireDecoders.writeRevision(body)
+        }
+        val before = store.put("k", first.toString())
+        election(second, decoders).start()
+        expectThat(nextChange()).isEqualTo(Leadership.Follower(first, Revision(before)))
+        store.remove("k")
+        expectThat(nextChange()).isA<Leadership.Leader>().get { since.value }.isGreaterThan(before)
+    }
+
     /** Guards against agents that keep following a deposed coordinator or return to it. */
     @Test
     fun `an announcement counts only when its term is newer`() {
