Report failures of timers and of handlers of answers

The data plane records a list of replicas as known once it has been applied, so that a failed update is tried again.

No new test: the tests of the loops and of RepeatingTask cover the same guard.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
@@ -23,6 +23,7 @@
 import org.jujubelead.gateway.peers.PeerDirectory
 import org.jujubelead.gateway.quarantine.EvidenceReports
 import org.jujubelead.gateway.quarantine.EvidenceStore
+import org.jujubelead.gateway.schedule.guarded
 import org.jujubelead.gateway.schedule.scheduleRepeating
 import org.jujubelead.gateway.settings.ProcessDescription
 import org.jujubelead.gateway.store.ReplicaRelay
@@ -63,7 +64,7 @@
         )
         val follower = StorePoller(store, control.next(), log, interval, relay, evidence) { state ->
             dataPlane.state = state
-            network.next().execute(dataPlane::replicasChanged)
+            network.next().execute { guarded("replicas changed", dataPlane::replicasChanged) }
         }
         follower.start()
         val reports = EvidenceReports(log, { dataPlane.prompts.records }, dataPlane.prompts::merge)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/DataPlane.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/DataPlane.kt
@@ -103,7 +103,6 @@
     fun replicasChanged() {
         val replicas = state.replicas ?: return
         if (replicas === knownReplicas) return
-        knownReplicas = replicas
         val byService = replicas.groupBy { it.service }
         (queues.keys + byService.keys).toSet().forEach {
             queue(it).updateReplicas(byService[it].orEmpty())
@@ -115,6 +114,7 @@
             if (endpointChanged) pool.close()
             endpointChanged
         }
+        knownReplicas = replicas
         dispatchAll()
     }
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -30,10 +30,10 @@
 import org.jujubelead.gateway.net.ByteBudget
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.quarantine.PromptGuard
+import org.jujubelead.gateway.schedule.scheduleOnce
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.Headers
-import java.util.concurrent.ScheduledFuture
-import java.util.concurrent.TimeUnit
+import java.util.concurrent.Future
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -78,8 +78,8 @@
     /** Error response of a replica, sent to the caller when no other attempt succeeds. */
     private var errorResponse: BufferedResponse? = null
     private var lastEvent: Long? = request.headers.get(Headers.LAST_EVENT_ID)?.trim()?.toLongOrNull()
-    private var deadlineTimer: ScheduledFuture<*>? = null
-    private var responseTimer: ScheduledFuture<*>? = null
+    private var deadlineTimer: Future<*>? = null
+    private var responseTimer: Future<*>? = null
 
     fun start() {
         dataPlane.activeExchanges++
@@ -107,12 +107,7 @@
             is QuarantineDecision.Admitted -> Unit
         }
         val remaining = deadline - ProcessClock.now()
-        deadlineTimer =
-            dataPlane.loop.schedule(
-                ::onDeadlinePassed,
-                remaining.inWholeMilliseconds.coerceAtLeast(0),
-                TimeUnit.MILLISECONDS,
-            )
+        deadlineTimer = dataPlane.loop.scheduleOnce(remaining, "deadline", ::onDeadlinePassed)
         requestReplica()
     }
 
@@ -183,17 +178,13 @@
     /** Cancels an attempt without a response while another replica can still respond in time. */
     private fun scheduleResponseTimeout(watched: Attempt) {
         val wait = route.objective * RESPONSE_TIMEOUT_FRACTION
-        responseTimer = dataPlane.loop.schedule(
-            {
-                val silent = attempt === watched && !watched.responseStarted
-                if (!finished && silent && mayRetry) {
-                    watched.cancel()
-                    onAttemptEnded(watched, AttemptEnd.Failed("silent"))
-                }
-            },
-            wait.inWholeMilliseconds,
-            TimeUnit.MILLISECONDS,
-        )
+        responseTimer = dataPlane.loop.scheduleOnce(wait, "response timeout") {
+            val silent = attempt === watched && !watched.responseStarted
+            if (!finished && silent && mayRetry) {
+                watched.cancel()
+                onAttemptEnded(watched, AttemptEnd.Failed("silent"))
+            }
+        }
     }
 
     /** Moves the stream to another replica when its replica has become slow and another one has capacity now. */
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/GracefulStop.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/GracefulStop.kt
@@ -13,8 +13,10 @@
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.schedule.guarded
+import org.jujubelead.gateway.schedule.scheduleOnce
 import org.jujubelead.gateway.schedule.scheduleRepeating
-import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * @param listener socket on which callers connect.
@@ -35,8 +37,7 @@
     fun start() {
         dataPlane.draining = true
         steps = dataPlane.loop.scheduleRepeating(CHECK_MILLIS, "graceful stop", ::step)
-        val timeLeft = endBy - ProcessClock.now()
-        dataPlane.loop.schedule(::end, timeLeft.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        dataPlane.loop.scheduleOnce(endBy - ProcessClock.now(), "end of stop", ::end)
         step()
     }
 
@@ -56,11 +57,11 @@
         ended = true
         steps?.stop()
         // The event loop writes the last bytes of a response in its next iteration.
-        dataPlane.loop.schedule({ onStopped(dataPlane.activeExchanges) }, FLUSH_DELAY_MILLIS, TimeUnit.MILLISECONDS)
+        dataPlane.loop.scheduleOnce(FLUSH_DELAY, "stopped") { onStopped(dataPlane.activeExchanges) }
     }
 
     private companion object {
         const val CHECK_MILLIS = 50L
-        const val FLUSH_DELAY_MILLIS = 30L
+        val FLUSH_DELAY: Duration = 30.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpClient.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpClient.kt
@@ -19,7 +19,8 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 import org.jujubelead.core.replica.Endpoint
-import java.util.concurrent.TimeUnit
+import org.jujubelead.gateway.schedule.guarded
+import org.jujubelead.gateway.schedule.scheduleOnce
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -66,7 +67,7 @@
         done: (Result<TextResponse, CallFailure>) -> Unit,
     ) {
         val call = Call(maxResponseBytes, done)
-        val timer = loop.schedule({ call.expire() }, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        val timer = loop.scheduleOnce(timeout, "call timeout", call::expire)
         call.onEnd = { timer.cancel(false) }
         pool.acquire(MAX_IDLE) { connection ->
             when {
@@ -107,7 +108,7 @@
             if (ended) return
             ended = true
             onEnd()
-            done(result)
+            guarded("answer") { done(result) }
         }
 
         fun expire() {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/LoadExchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/LoadExchange.kt
@@ -22,6 +22,8 @@
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.quarantine.EvidenceReports
 import org.jujubelead.gateway.schedule.scheduleRepeating
+import org.jujubelead.gateway.telemetry.DefectReporter
+import java.io.IOException
 import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -75,6 +77,7 @@
                 override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
                     // A datagram to a terminated gateway causes an ICMP error. The peer directory will drop that
                     // gateway.
+                    if (cause !is IOException) DefectReporter.report("load report", cause)
                 }
             })
             .bind(own.host, own.port).sync().channel()
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/CrashCheck.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/CrashCheck.kt
@@ -12,7 +12,8 @@
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.ConnectionPool
 import org.jujubelead.gateway.net.ProcessClock
-import java.util.concurrent.TimeUnit
+import org.jujubelead.gateway.schedule.guarded
+import org.jujubelead.gateway.schedule.scheduleOnce
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -29,7 +30,7 @@
         val others = waiting.getOrPut(incarnation) { ArrayList() }
         others += done
         if (others.size > 1) return
-        val timer = loop.schedule({ finish(incarnation, false) }, TIMEOUT.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        val timer = loop.scheduleOnce(TIMEOUT, "crash check") { finish(incarnation, false) }
         pool.testConnection { refused ->
             timer.cancel(false)
             finish(incarnation, refused)
@@ -38,7 +39,7 @@
 
     private fun finish(incarnation: Incarnation, refused: Boolean) {
         if (refused) crashed[incarnation] = ProcessClock.now() + RESULT_LIFETIME
-        waiting.remove(incarnation)?.forEach { it(refused) }
+        waiting.remove(incarnation)?.forEach { done -> guarded("crash check") { done(refused) } }
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
@@ -20,12 +20,12 @@
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.schedule.RepeatingTask
+import org.jujubelead.gateway.schedule.scheduleOnce
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.StoreRequests
 import org.jujubelead.platform.wire.StoredValue
 import org.jujubelead.platform.wire.WireDecoders
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -77,7 +77,7 @@
     fun publish(records: Map<PartKey, PartRecord>, observed: Boolean) {
         local = records
         if (observed) return writes.request()
-        loop.schedule(writes::request, FOREIGN_EVIDENCE_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        loop.scheduleOnce(FOREIGN_EVIDENCE_DELAY, "evidence", writes::request)
     }
 
     /** Records a trial of the part of [key]; this gateway makes it unless another one was faster. */
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -25,12 +25,12 @@
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.schedule.InProgress
+import org.jujubelead.gateway.schedule.scheduleOnce
 import org.jujubelead.gateway.schedule.scheduleRepeating
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.HeldExperts
 import org.jujubelead.platform.wire.WireDecoders
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -105,14 +105,10 @@
     private fun evaluateSoon() {
         if (evaluationDue) return
         evaluationDue = true
-        loop.schedule(
-            {
-                evaluationDue = false
-                evaluate()
-            },
-            EVALUATION_DELAY_MILLIS,
-            TimeUnit.MILLISECONDS,
-        )
+        loop.scheduleOnce(EVALUATION_DELAY, "map change") {
+            evaluationDue = false
+            evaluate()
+        }
     }
 
     /** Stops as soon as the group is not held any more. */
@@ -361,7 +357,7 @@
         /** Plans twice a second, which handles a shift of demand within a second or two. */
         val PLAN_INTERVAL: Duration = 500.milliseconds
         const val TICK_MILLIS = 30L
-        const val EVALUATION_DELAY_MILLIS = 5L
+        val EVALUATION_DELAY: Duration = 5.milliseconds
         const val LOAD_LOG_MILLIS = 1_000L
 
         /** Gateways learn about a slow rank within half a second. */
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/schedule/RepeatingTask.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/schedule/RepeatingTask.kt
@@ -142,6 +142,10 @@
     return repeating
 }
 
+/** Runs [task] once after [delay]. If it throws, the failure is reported under [name]. */
+public fun EventLoop.scheduleOnce(delay: Duration, name: String, task: () -> Unit): Future<*> =
+    schedule({ guarded(name, task) }, delay.inWholeMilliseconds.coerceAtLeast(0), TimeUnit.MILLISECONDS)
+
 /** Runs [task]. If it throws, the failure is reported under [name], and false is returned. */
 public fun guarded(name: String, task: () -> Unit): Boolean = try {
     task()
