Test that a request whose body ends early reaches no replica

Twelve cells: Content-Length, chunks, the last chunk without its end, and a body that the caller holds back, each with a caller that half-closes, closes or resets. All pass; nothing was changed.

--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/CallerConnectionTest.kt
@@ -218,4 +218,36 @@
             }
         }
     }
+
+    /** Guards against a request whose missing end is taken for its end: the replica would act on a part of it. */
+    @Test
+    fun `a request whose connection ends within its body reaches no replica`() {
+        val begun = listOf(
+            "POST /once/x HTTP/1.1\r\n$IDENTITY\r\nContent-Length: 10\r\n\r\npart",
+            "POST /once/x HTTP/1.1\r\n$IDENTITY\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+            "POST /once/x HTTP/1.1\r\n$IDENTITY\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n",
+            "POST /once/x HTTP/1.1\r\n$IDENTITY\r\nContent-Length: 10\r\nExpect: 100-continue\r\n\r\n",
+        )
+        val ends = listOf<(GatewayFixture.Caller) -> Unit>({ it.halfClose() }, { it.close() }, { it.reset() })
+        FakeReplica { it.ok("done") }.use { replica ->
+            GatewayFixture(replica).use { gateway ->
+                for (text in begun) {
+                    for (end in ends) {
+                        val caller = gateway.connect()
+                        caller.send(text)
+                        Thread.sleep(20)
+                        end(caller)
+                    }
+                }
+                Thread.sleep(300)
+                expectThat(replica.requests.map { it.body }).isEmpty()
+                expectThat(gateway.connect().request("/once/x", id = "a2").body).isEqualTo("done")
+            }
+        }
+    }
+
+    private companion object {
+        const val IDENTITY = "Host: h.example\r\n${Headers.REQUEST_ID}: a1\r\n${Headers.DEADLINE}: 1900\r\n" +
+            "Authorization: ${Headers.AUTH_SCHEME} good-key"
+    }
 }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/GatewayFixture.kt
@@ -205,6 +205,14 @@
             }
         }
 
+        /** Ends what is sent, and reads on. */
+        fun halfClose() = socket.shutdownOutput()
+
+        fun reset() {
+            socket.setSoLinger(true, 0)
+            socket.close()
+        }
+
         override fun close() = socket.close()
     }
 }
