Report the age of the replica list

The check stays 200: an old list may be as good as that of the other gateways, and taking all of them out would serve nobody.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
@@ -45,6 +45,7 @@
     private val stopped = CountDownLatch(1)
     private lateinit var callerListener: Channel
     private var lastReady = false
+    private var lastListOverdue = false
 
     /** Runs the gateway until it has been stopped. */
     fun run() {
@@ -136,7 +137,22 @@
                 "configurationAgeMillis" to age.takeIf { it.isFinite() }?.inWholeMilliseconds,
             )
         }
-        return if (ready) TextResponse(STATUS_OK, "ready\n") else TextResponse(STATUS_UNAVAILABLE, "not ready\n")
+        val listAge = state.replicasReadAt?.let { ProcessClock.now() - it }
+        reportOverdueList(listAge)
+        val detail = "replica list read ${listAge?.inWholeMilliseconds ?: "-"} ms ago\n"
+        return if (ready) {
+            TextResponse(STATUS_OK, "ready\n$detail")
+        } else {
+            TextResponse(STATUS_UNAVAILABLE, "not ready\n$detail")
+        }
+    }
+
+    /** The gateway stays ready on an old list, since it may be as good as that of the others. */
+    private fun reportOverdueList(age: Duration?) {
+        val overdue = age != null && age > MAX_LIST_AGE
+        if (overdue == lastListOverdue) return
+        lastListOverdue = overdue
+        log.log(LogEvent.REPLICA_LIST_OVERDUE, "overdue" to overdue, "ageMillis" to age?.inWholeMilliseconds)
     }
 
     /** Applies the bounds of changed settings. Changed addresses take effect at the next start. */
@@ -173,6 +189,9 @@
 
         const val TRIAL_CHECK_INTERVAL_MILLIS = 1_000L
 
+        /** Age of the replica list from which on it is reported as overdue. */
+        val MAX_LIST_AGE: Duration = 10.seconds
+
         /** A shared list is at most one interval old, unless its reader has lost the store. */
         const val MAX_LIST_AGE_INTERVALS = 1.3
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/ControlState.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ControlState.kt
@@ -9,16 +9,19 @@
 import org.jujubelead.core.replica.Replica
 import org.jujubelead.core.route.Configuration
 import org.jujubelead.core.time.ClockReading
+import org.jujubelead.core.time.Timestamp
 import kotlin.time.Duration
 
 /**
  * @property confirmedAt when the read that confirmed [configuration] as the latest was sent.
  * @property replicas usable replicas; null until the first list has been read.
+ * @property replicasReadAt when the latest list of replicas was requested, as of [confirmedAt].
  */
 public data class ControlState(
     val configuration: Configuration? = null,
     val confirmedAt: ClockReading? = null,
     val replicas: List<Replica>? = null,
+    val replicasReadAt: Timestamp? = null,
 ) {
     /** Time since the configuration was confirmed as the latest; infinite if it never was. */
     public fun age(now: ClockReading): Duration = confirmedAt?.let { now.since(it) } ?: Duration.INFINITE
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
@@ -44,6 +44,10 @@
 ) {
     private val directory = ReplicaDirectory()
     private var known: List<Replica>? = null
+
+    /** When the latest list that could be read was requested from the store; null before the first one. */
+    public var readAt: Timestamp? = null
+        private set
     private var unreadableKeys: List<String> = emptyList()
 
     /** When the current read of the store began, or when the zone's reader answered. */
@@ -128,6 +132,7 @@
         reportUnreadable(pages.flatMap { it.unreadableKeys })
         val revision = pages.last().revision
         directory.applyListing(pages.flatMap { it.replicas }, revision, sentAt)
+        readAt = sentAt
         if (directory.replicas == known) return
         val before = known.orEmpty().mapTo(HashSet()) { it.id.value }
         val after = directory.replicas.mapTo(HashSet()) { it.id.value }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
@@ -115,7 +115,7 @@
 
     private fun onConfirmed(sentAt: ClockReading) {
         onStoreRegained()
-        state = state.copy(confirmedAt = sentAt)
+        state = state.copy(confirmedAt = sentAt, replicasReadAt = replicas.readAt)
         onChange(state)
     }
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
@@ -26,6 +26,7 @@
     PART_TRIAL("JJ-6113"),
     REPLICA_LIMIT("JJ-6114"),
     REPLICA_LEAVING("JJ-6115"),
+    REPLICA_LIST_OVERDUE("JJ-6116"),
     REQUEST_ANSWERED("JJ-6201", essential = false),
     REQUEST_REFUSED("JJ-6202"),
     REQUEST_FAILED("JJ-6203"),
