--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
@@ -145,6 +145,9 @@
         to.send(buildForwardedRequest(timeLeft, workspace), this)
     }
 
+    /** Time since the last event, or since the attempt began. */
+    val silence: Duration get() = ProcessClock.now() - (lastEventAt ?: startedAt)
+
     /** Time since the event before the one that has just arrived; null if it is the first. */
     fun gapSinceLastEvent(): Duration? {
         val now = ProcessClock.now()
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -387,7 +387,7 @@
 
     private fun logEnd(event: LogEvent, status: Int, reason: String) {
         val queueLength = if (::route.isInitialized) dataPlane.queue(service).waitingCount else null
-        log.ended(event, status, reason, attempts, queueLength)
+        log.ended(event, status, reason, attempts, attempt, queueLength)
     }
 
     private fun finish(result: String, status: Int) {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/RequestLog.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/RequestLog.kt
@@ -17,8 +17,19 @@
 
     private val sharedParts: String? get() = request.sharedParts.joinToString(" ").ifEmpty { null }
 
-    /** Logs that the request was refused or failed. [status] is 0 if its connection was closed instead. */
-    fun ended(event: LogEvent, status: Int, reason: String, attempts: Int, queueLength: Int?) = dataPlane.log.log(
+    /**
+     * Logs that the request was refused or failed. [status] is 0 if its connection was closed instead.
+     *
+     * @param current attempt that is ended with the request; null if none is in progress.
+     */
+    fun ended(
+        event: LogEvent,
+        status: Int,
+        reason: String,
+        attempts: Int,
+        current: Attempt?,
+        queueLength: Int?,
+    ) = dataPlane.log.log(
         event,
         "request" to request.id,
         "route" to route?.name,
@@ -31,6 +42,9 @@
         "configurationAgeMillis" to
             dataPlane.state.age(ProcessClock.read()).takeIf { it.isFinite() }?.inWholeMilliseconds,
         "waiting" to queueLength,
+        "replica" to current?.replica?.id,
+        "events" to current?.eventCount,
+        "silentMillis" to current?.silence?.inWholeMilliseconds,
         "parts" to sharedParts,
     )
 
