--- a/bench/src/main/kotlin/org/jujubelead/bench/prove/TcpRelay.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/prove/TcpRelay.kt
@@ -20,9 +20,43 @@
 private const val CONNECT_TIMEOUT_MS = 1_000
 private const val STACK_BYTES = 128L * 1024
 
+/** A write that takes longer waits for a peer that does not read, and has met no reset. */
+private const val MAX_WRITE_NANOS = 200_000_000L
+
 /** The relay; it accepts at [port] and connects to [targetPort], which can change when the target is replaced. */
 public class TcpRelay(@Volatile public var targetPort: Int) : AutoCloseable {
-    private class Link(val near: Socket, val far: Socket) {
+    /** One of the two sockets of a link. */
+    private class Side(val socket: Socket) {
+        @Volatile
+        private var writing = false
+
+        @Volatile
+        private var writeFailed = false
+
+        fun write(bytes: ByteArray, count: Int) {
+            writing = true
+            try {
+                socket.getOutputStream().write(bytes, 0, count)
+            } catch (e: IOException) {
+                writeFailed = true
+                throw e
+            } finally {
+                writing = false
+            }
+        }
+
+        /**
+         * Returns whether the end that was read from this side is a reset. Only one call on a socket learns of a reset;
+         * if that is a write, a read beside it sees an orderly end.
+         */
+        fun wasReset(): Boolean {
+            val until = System.nanoTime() + MAX_WRITE_NANOS
+            while (writing && System.nanoTime() < until) Thread.sleep(1)
+            return writeFailed
+        }
+    }
+
+    private class Link(val near: Side, val far: Side) {
         @Volatile
         var frozen = false
 
@@ -30,22 +64,22 @@
         private var ended = false
 
         fun close() {
-            near.close()
-            far.close()
+            near.socket.close()
+            far.socket.close()
         }
 
         /** Ends the bytes to one side, and the connection once both sides have ended. */
         @Synchronized
-        fun endOutput(to: Socket) {
+        fun endOutput(to: Side) {
             if (ended) return close()
             ended = true
-            to.shutdownOutput()
+            to.socket.shutdownOutput()
         }
 
         fun reset() {
-            for (socket in listOf(near, far)) {
+            for (side in listOf(near, far)) {
                 try {
-                    socket.setSoLinger(true, 0)
+                    side.socket.setSoLinger(true, 0)
                 } catch (_: SocketException) {
                     // Closed already.
                 }
@@ -107,27 +141,28 @@
         }
         near.tcpNoDelay = true
         far.tcpNoDelay = true
-        val link = Link(near, far)
+        val link = Link(Side(near), Side(far))
         links += link
-        start("relay-$port-back") { copy(link, far, near) }
-        copy(link, near, far)
+        start("relay-$port-back") { copy(link, link.far, link.near) }
+        copy(link, link.near, link.far)
     }
 
-    private fun copy(link: Link, from: Socket, to: Socket) {
+    private fun copy(link: Link, from: Side, to: Side) {
         val buffer = ByteArray(BUFFER_BYTES)
         try {
             while (true) {
-                val count = from.getInputStream().read(buffer)
+                val count = from.socket.getInputStream().read(buffer)
                 if (count < 0) break
                 if (delayMs > 0) Thread.sleep(delayMs)
-                if (!link.frozen) to.getOutputStream().write(buffer, 0, count)
+                if (!link.frozen) to.write(buffer, count)
             }
-            if (!link.frozen) link.endOutput(to)
+            val reset = from.wasReset()
+            if (!link.frozen) if (reset) link.reset() else link.endOutput(to)
         } catch (_: IOException) {
             // One side reset the connection. The other side of a frozen connection does not learn of it.
             if (!link.frozen) link.reset()
         }
-        if (link.frozen || link.near.isClosed) links -= link
+        if (link.frozen || link.near.socket.isClosed) links -= link
     }
 
     private fun start(name: String, body: () -> Unit) {
--- a/bench/src/test/kotlin/org/jujubelead/bench/prove/TcpRelayTest.kt
+++ b/bench/src/test/kotlin/org/jujubelead/bench/prove/TcpRelayTest.kt
@@ -84,6 +84,58 @@
         }
     }
 
+    /** Sends a request of some megabytes, and returns whether the answer ends in an orderly way meanwhile. */
+    private fun endsOrderlyDuringRequest(): Boolean = connect().use { socket ->
+        socket.soTimeout = 5_000
+        var writeFailed = false
+        val writer = thread(isDaemon = true) {
+            writeFailed = runCatching { repeat(200) { socket.getOutputStream().write(ByteArray(16 * 1024)) } }.isFailure
+        }
+        val readToEnd = runCatching { while (socket.getInputStream().read() >= 0) Unit }.isSuccess
+        writer.join()
+        // A read beside a write that meets the reset sees an orderly end.
+        readToEnd && !writeFailed
+    }
+
+    /** Serves connections to the relay with a part of an answer, and [end]s them while the request is being sent. */
+    private fun serveDuringRequest(target: ServerSocket, end: (Socket) -> Unit) {
+        relay.targetPort = target.localPort
+        thread(isDaemon = true) {
+            while (true) {
+                val socket = runCatching { target.accept() }.getOrNull() ?: break
+                thread(isDaemon = true) {
+                    socket.getInputStream().read()
+                    socket.getOutputStream().write(7)
+                    Thread.sleep(2)
+                    end(socket)
+                }
+            }
+        }
+    }
+
+    /** Guards against an answer that looks complete only because the relay hid the reset that a write had met. */
+    @Test
+    fun `a reset during the request is not passed on as an orderly end`() {
+        ServerSocket(0, 64, InetAddress.getLoopbackAddress()).use { target ->
+            serveDuringRequest(target) {
+                it.setSoLinger(true, 0)
+                it.close()
+            }
+            expectThat((1..CONNECTIONS).count { endsOrderlyDuringRequest() }).isEqualTo(0)
+        }
+    }
+
+    @Test
+    fun `an orderly end during the request is passed on`() {
+        ServerSocket(0, 64, InetAddress.getLoopbackAddress()).use { target ->
+            serveDuringRequest(target) { socket ->
+                socket.shutdownOutput()
+                while (socket.getInputStream().read(ByteArray(16 * 1024)) >= 0) Unit
+            }
+            expectThat((1..CONNECTIONS).count { endsOrderlyDuringRequest() }).isEqualTo(CONNECTIONS)
+        }
+    }
+
     /** Guards against a reset that callers take for an orderly end. */
     @Test
     fun `connections that the relay resets do not end in an orderly way`() {
@@ -92,4 +144,8 @@
         relay.reset()
         expectThat(connection.endedByReset()).isTrue()
     }
+
+    private companion object {
+        const val CONNECTIONS = 200
+    }
 }
