End the processes of a soak that is ended from outside

Cause, seen in one of the next runs with the line that FakeReplica now tells: `GET /kv-key?key=rank-groups/model`, sent to port 34937. That was the port of the store of a soak that had been ended by a signal; its agents and gateways had stayed, and called the port after a test had got it.

Change: the processes that a run has started end with it. The test names a request that is none of its own.

--- a/bench/src/main/kotlin/org/jujubelead/bench/prove/ManagedProcess.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/prove/ManagedProcess.kt
@@ -25,6 +25,9 @@
         .apply { environment().putAll(environment) }
         .start()
 
+    /** Ends the process with a run that is ended from outside; it would go on calling ports that others use then. */
+    private val endWithRun = Thread { process.destroyForcibly() }.also(Runtime.getRuntime()::addShutdownHook)
+
     /** Process id. */
     public val pid: Long = process.pid()
 
@@ -55,5 +58,10 @@
 
     override fun close() {
         process.destroyForcibly().waitFor()
+        try {
+            Runtime.getRuntime().removeShutdownHook(endWithRun)
+        } catch (_: IllegalStateException) {
+            // The run is being ended.
+        }
     }
 }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/FakeReplica.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/FakeReplica.kt
@@ -12,7 +12,7 @@
 import java.util.concurrent.CountDownLatch
 
 internal class ReceivedRequest(val line: String, val headers: Map<String, String>, val body: String) {
-    val id: String get() = headers.getValue(Headers.REQUEST_ID.lowercase())
+    val id: String get() = checkNotNull(headers[Headers.REQUEST_ID.lowercase()]) { "no id in $line, $headers" }
     val length: Int get() = headers["content-length"]?.toInt() ?: 0
 }
 
