Run periodic work that ends with its call as a fixed-delay task again

Cause: RepeatingTask made one object, two closures and one timer for each of the 17 to 60 ticks a second of a process.

Change: scheduleRepeating uses the event loop's fixed-delay task, with the same report of failures, which cannot end the repetition either. RepeatingTask stays for turns that end later than their call.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/GracefulStop.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/GracefulStop.kt
@@ -11,10 +11,10 @@
 import io.netty.channel.Channel
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.ProcessClock
-import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.schedule.guarded
 import org.jujubelead.gateway.schedule.scheduleOnce
 import org.jujubelead.gateway.schedule.scheduleRepeating
+import java.util.concurrent.Future
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -31,7 +31,7 @@
     private val endBy: Timestamp,
     private val onStopped: (cut: Int) -> Unit,
 ) {
-    private var steps: RepeatingTask? = null
+    private var steps: Future<*>? = null
     private var ended = false
 
     fun start() {
@@ -55,7 +55,7 @@
     private fun end() {
         if (ended) return
         ended = true
-        steps?.stop()
+        steps?.cancel(false)
         // The event loop writes the last bytes of a response in its next iteration.
         dataPlane.loop.scheduleOnce(FLUSH_DELAY, "stopped") { onStopped(dataPlane.activeExchanges) }
     }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -120,7 +120,7 @@
 
     private fun end() {
         ended = true
-        tasks.forEach { it.stop() }
+        tasks.forEach { it.cancel(false) }
         reporter.close()
         clients.values.forEach { it.close() }
         clients.clear()
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/schedule/RepeatingTask.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/schedule/RepeatingTask.kt
@@ -131,16 +131,12 @@
     }
 }
 
-/** Runs [task] every [millis] milliseconds after its last run. */
-public fun EventLoop.scheduleRepeating(millis: Long, name: String, task: () -> Unit): RepeatingTask {
-    val interval = millis.milliseconds
-    val repeating = RepeatingTask(loop = this, name = name, waitTime = { interval }) { turn ->
-        task()
-        turn.end()
-    }
-    repeating.start(interval)
-    return repeating
-}
+/**
+ * Runs [task] every [millis] milliseconds after its last run, until the result is cancelled. If it throws, the failure
+ * is reported under [name]. For work that ends with its call, for which it costs less than a [RepeatingTask].
+ */
+public fun EventLoop.scheduleRepeating(millis: Long, name: String, task: () -> Unit): Future<*> =
+    scheduleWithFixedDelay({ guarded(name, task) }, millis, millis, TimeUnit.MILLISECONDS)
 
 /** Runs [task] once after [delay]. If it throws, the failure is reported under [name]. */
 public fun EventLoop.scheduleOnce(delay: Duration, name: String, task: () -> Unit): Future<*> =
