Count the messages of a coordinator, and separate an agent from its process

What an agent does is moved out of its process (RankAgent, ChoiceSampler), and its parts get calls, clock and event loop from an AgentRuntime, so that they can be played in virtual time. No decision changes.

The tests of the parts are adapted to the constructors; RankClientTest, RankLoopsTest and GroupCoordinatorTest pass.

--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/SwitchDuration.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/SwitchDuration.kt
@@ -23,11 +23,12 @@
         if (phase is ChangePhase.Idle || phase is ChangePhase.Preparing) heldSince = null
     }
 
-    /** Records that all ranks are armed. */
-    public fun allArmed(now: Timestamp) {
-        val since = heldSince ?: return
+    /** Records that all ranks are armed. Returns how long that took; null if it was recorded before. */
+    public fun allArmed(now: Timestamp): Duration? {
+        val took = now - (heldSince ?: return null)
         heldSince = null
-        estimate = estimate * (1 - WEIGHT) + (now - since) * WEIGHT
+        estimate = estimate * (1 - WEIGHT) + took * WEIGHT
+        return took
     }
 
     /** Number of passes of [passTime] between the current pass and the one of the switch. */
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpClient.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpClient.kt
@@ -40,24 +40,24 @@
  * @param maxResponseBytes maximum size of a response; the connection of a larger one is closed.
  */
 public class HttpClient(
-    public val endpoint: Endpoint,
+    override val endpoint: Endpoint,
     private val loop: EventLoop,
     private val timeout: Duration,
     private val maxResponseBytes: Int = DEFAULT_MAX_RESPONSE_BYTES,
-) {
+) : RpcClient {
     private val pool = ConnectionPool(endpoint, loop, connectTimeout = timeout)
 
-    public fun get(path: String, done: (Result<TextResponse, CallFailure>) -> Unit): Unit =
+    override fun get(path: String, done: (Result<TextResponse, CallFailure>) -> Unit): Unit =
         call(HttpMethod.GET, path, null, timeout, done)
 
-    public fun post(
+    override fun post(
         path: String,
         body: String,
-        timeout: Duration = this.timeout,
+        timeout: Duration?,
         done: (Result<TextResponse, CallFailure>) -> Unit,
-    ): Unit = call(HttpMethod.POST, path, body, timeout, done)
+    ): Unit = call(HttpMethod.POST, path, body, timeout ?: this.timeout, done)
 
-    public fun close(): Unit = pool.close()
+    override fun close(): Unit = pool.close()
 
     private fun call(
         method: HttpMethod,
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/ProcessClock.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/ProcessClock.kt
@@ -4,10 +4,15 @@
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
 
-public object ProcessClock {
+/** Monotonic clock. */
+public fun interface Clock {
+    public fun now(): Timestamp
+}
+
+public object ProcessClock : Clock {
     private const val NANOS_PER_MICRO = 1_000
 
-    public fun now(): Timestamp = Timestamp(System.nanoTime() / NANOS_PER_MICRO)
+    override fun now(): Timestamp = Timestamp(System.nanoTime() / NANOS_PER_MICRO)
 
     public fun read(): ClockReading = ClockReading(now(), System.currentTimeMillis())
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -6,7 +6,6 @@
  */
 package org.jujubelead.gateway.rank
 
-import io.netty.channel.EventLoop
 import org.jujubelead.core.expertmap.ChangePhase
 import org.jujubelead.core.expertmap.GroupMap
 import org.jujubelead.core.expertmap.MapChange
@@ -23,11 +22,9 @@
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.route.ExpertLayout
 import org.jujubelead.core.time.Timestamp
-import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.schedule.InProgress
 import org.jujubelead.gateway.schedule.scheduleOnce
 import org.jujubelead.gateway.schedule.scheduleRepeating
-import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.HeldExperts
 import org.jujubelead.platform.wire.WireDecoders
@@ -43,13 +40,12 @@
  * @param reporter receives the slow ranks.
  */
 internal class GroupCoordinator(
-    private val loop: EventLoop,
-    private val log: EventLog,
+    private val runtime: AgentRuntime,
     private val layout: ExpertLayout,
     private val since: Revision,
     private val ownRank: () -> Int,
     private val confirmLeadership: ((Boolean) -> Unit) -> Unit,
-    private val reporter: SlowRankReporter,
+    private val reporter: SlowRankReports,
     private val planInterval: Duration = PLAN_INTERVAL,
     private val decoders: WireDecoders = WireDecoders,
 ) {
@@ -66,6 +62,8 @@
     private var mapsInFlight = 0
     private var evaluationDue = false
     private val switchDuration = SwitchDuration()
+    private val traffic = CoordinatorTraffic()
+    private var phaseSince = runtime.clock.now()
     private var passTime = Duration.ZERO
     private var lastLoggedStep = 0L
     private var lastLoggedAt = Timestamp.ZERO
@@ -76,26 +74,30 @@
     private var ended = false
 
     private val tasks = listOf(
-        loop.scheduleRepeating(TICK_MILLIS, "map change", ::tick),
-        loop.scheduleRepeating(LOAD_LOG_MILLIS, "group load", ::logLoad),
-        loop.scheduleRepeating(REPORT_MILLIS, "group report", ::reportSlowRanks),
+        runtime.loop.scheduleRepeating(TICK_MILLIS, "map change", ::tick),
+        runtime.loop.scheduleRepeating(LOAD_LOG_MILLIS, "group load", ::logLoad),
+        runtime.loop.scheduleRepeating(REPORT_MILLIS, "group report", ::reportSlowRanks),
     )
 
     /**
      * Handles the status of an agent. Only statuses of this term count, since their agents refuse orders of earlier
      * terms.
+     *
+     * @param bytes size of the message.
      */
-    fun onStatus(status: RankStatus): StatusReply {
+    fun onStatus(status: RankStatus, bytes: Int = 0): StatusReply {
+        traffic.record(MessageKind.STATUS, bytes)
         if (status.term == since.value) applyStatus(status)
         return StatusReply(layout.sets, interval.inWholeMilliseconds, changeInterval.inWholeMilliseconds)
     }
 
     private fun applyStatus(status: RankStatus) {
-        val now = ProcessClock.now()
+        val now = runtime.clock.now()
         val replica = Endpoint.parse(status.replica) ?: return
         val agent = Endpoint.parse(status.agent) ?: return
         val client = clients[replica]?.takeIf { it.agent == agent }
-            ?: RankClient(agent, replica, since.value, loop, log, decoders).also { clients.put(replica, it)?.close() }
+            ?: RankClient(agent, replica, since.value, runtime, decoders, traffic)
+                .also { clients.put(replica, it)?.close() }
         client.onReading(status.observed)
         planner.recordChoices(status.firstSet, CompactCounts(status.choiceUnit, status.choices).counts(), now)
         evaluateSoon()
@@ -105,7 +107,7 @@
     private fun evaluateSoon() {
         if (evaluationDue) return
         evaluationDue = true
-        loop.scheduleOnce(EVALUATION_DELAY, "map change") {
+        runtime.loop.scheduleOnce(EVALUATION_DELAY, "map change") {
             evaluationDue = false
             evaluate()
         }
@@ -143,7 +145,7 @@
         if (ended) return
         readSilentRanks()
         evaluate()
-        val now = ProcessClock.now()
+        val now = runtime.clock.now()
         val current = change.current ?: return
         if (!change.idle || stopped || !wasComplete) return
         if (planner.idle && now - plannedAt >= planInterval) plan(current, view(now), now)
@@ -154,7 +156,7 @@
      * release.
      */
     private fun readSilentRanks() {
-        val now = ProcessClock.now()
+        val now = runtime.clock.now()
         for (client in clients.values) if (client.silent(now, silenceTimeout)) client.readDirectly(::evaluate)
     }
 
@@ -163,23 +165,23 @@
 
     /** Selects the rank at which the group is held: the next one after the own rank whose agent is not silent. */
     private fun holder(size: Int): Int {
-        val now = ProcessClock.now()
+        val now = runtime.clock.now()
         val ranks = (1 until size).map { (ownRank() + it) % size }
         return ranks.firstOrNull { r -> client(r)?.silent(now, silenceTimeout) == false } ?: ownRank()
     }
 
     private fun evaluate() {
         if (stopped && change.idle) return end()
-        val now = ProcessClock.now()
+        val now = runtime.clock.now()
         val view = view(now)
         val complete = change.complete(view)
         if (complete != wasComplete) {
             wasComplete = complete
-            log.log(LogEvent.RANKS_CHANGED, "ranks" to view.size, "complete" to complete)
+            runtime.log.log(LogEvent.RANKS_CHANGED, "ranks" to view.size, "complete" to complete)
         }
         if (!complete) return
         val orders = change.nextOrders(view, now)
-        if (orders.values.any { it is MapOrder.Release }) switchDuration.allArmed(now)
+        orders.values.firstNotNullOfOrNull { it as? MapOrder.Release }?.let { allArmed(it, view, now) }
         sendAll(orders, now)
         logPhase()
         when {
@@ -209,14 +211,26 @@
         }
     }
 
+    private fun allArmed(release: MapOrder.Release, view: Map<Int, RankObservation>, now: Timestamp) {
+        val took = switchDuration.allArmed(now) ?: return
+        runtime.log.log(
+            LogEvent.MAP_CHANGE_STEP,
+            "step" to "armed",
+            "millis" to took.inWholeMilliseconds,
+            // Without a pass left, the group stands still.
+            "passesLeft" to release.step - 1 - view.values.maxOf { it.step },
+            "marginSteps" to change.marginSteps,
+        )
+    }
+
     private fun client(rank: Int): RankClient? = clients.values.firstOrNull { it.observation?.rank == rank }
 
     private fun confirmStillLeader() {
-        if (confirmation.at(ProcessClock.now())) return
-        confirmation.begin(ProcessClock.now())
+        if (confirmation.at(runtime.clock.now())) return
+        confirmation.begin(runtime.clock.now())
         confirmLeadership { leads ->
             confirmation.end()
-            val now = ProcessClock.now()
+            val now = runtime.clock.now()
             val view = view(now)
             if (leads && change.complete(view)) change.leadershipConfirmed(view) else change.leadershipLost()
             evaluate()
@@ -225,8 +239,8 @@
 
     /** Reads the experts that all ranks hold. */
     private fun readHeldExperts(view: Map<Int, RankObservation>) {
-        if (heldExpertsRead.at(ProcessClock.now())) return
-        heldExpertsRead.begin(ProcessClock.now())
+        if (heldExpertsRead.at(runtime.clock.now())) return
+        heldExpertsRead.begin(runtime.clock.now())
         val version = view.values.map { it.map }.toSet().singleOrNull()
         val held = HashMap<Int, HeldExperts>()
         var pending = view.size
@@ -244,7 +258,7 @@
     /** Uses the experts of the ranks if all of them are those of the map of [version]. */
     private fun onHeldExperts(held: Map<Int, HeldExperts>, version: MapVersion?) {
         heldExpertsRead.end()
-        val now = ProcessClock.now()
+        val now = runtime.clock.now()
         val view = view(now)
         val whole = view.size == held.size && held.values.all { it.sets.size == layout.sets }
         if (held.values.any { it.version != null && it.version != version }) return
@@ -259,10 +273,15 @@
         if (planner.idle) plannedAt = now
         val proposal = planner.planNextSet(current, slowdowns = view.toSortedMap().values.map { it.slowdown })
         if (proposal == null) {
-            if (!planner.idle) loop.execute { continuePlanning(current) }
+            if (!planner.idle) runtime.loop.execute { continuePlanning(current) }
             return
         }
-        log.log(LogEvent.MAP_CHANGE_STEP, "step" to "proposed", "gainPercent" to (proposal.gain * PERCENT).toInt())
+        runtime.log.log(
+            LogEvent.MAP_CHANGE_STEP,
+            "step" to "proposed",
+            "gainPercent" to (proposal.gain * PERCENT).toInt(),
+            "planMillis" to (now - plannedAt).inWholeMilliseconds,
+        )
         change.marginSteps = switchDuration.marginSteps(passTime)
         change.propose(proposal.map, now)
         evaluate()
@@ -276,21 +295,23 @@
     }
 
     private fun continuePlanning(current: GroupMap) {
-        val now = ProcessClock.now()
+        val now = runtime.clock.now()
         val same = change.current === current && change.idle && !stopped && wasComplete
         if (same) plan(current, view(now), now) else planner.discardPlan()
     }
 
     private fun logLoad() {
-        val now = ProcessClock.now()
+        if (ended) return
+        runtime.log.log(LogEvent.COORDINATOR_TRAFFIC, *traffic.drain().toTypedArray())
+        val now = runtime.clock.now()
         val view = view(now)
-        if (ended || !change.complete(view)) return
+        if (!change.complete(view)) return
         val step = view.values.maxOf { it.step }
         val passes = step - lastLoggedStep
         if (passes > 0 && lastLoggedStep > 0) {
             passTime = (now - lastLoggedAt) / passes.toDouble()
             val ranks = view.toSortedMap()
-            log.log(
+            runtime.log.log(
                 LogEvent.GROUP_LOAD,
                 "passMillis" to (now - lastLoggedAt).inWholeMilliseconds / passes,
                 "paces" to ranks.filterValues {
@@ -309,14 +330,21 @@
         val phase = change.phase
         if (phase::class == lastPhase::class) return
         lastPhase = phase
-        switchDuration.phaseChanged(phase, ProcessClock.now())
+        switchDuration.phaseChanged(phase, runtime.clock.now())
         val details = when (phase) {
             is ChangePhase.Preparing -> "version ${phase.version}"
             is ChangePhase.Holding -> "version ${phase.version} pass ${phase.step}"
             is ChangePhase.Switching -> "version ${phase.version} pass ${phase.step}"
             is ChangePhase.Idle, is ChangePhase.Proving -> null
         }
-        log.log(LogEvent.MAP_CHANGE_STEP, "step" to phase::class.simpleName, "details" to details)
+        val now = runtime.clock.now()
+        runtime.log.log(
+            LogEvent.MAP_CHANGE_STEP,
+            "step" to phase::class.simpleName,
+            "details" to details,
+            "previousMillis" to (now - phaseSince).inWholeMilliseconds,
+        )
+        phaseSince = now
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/LocalRank.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/LocalRank.kt
@@ -2,10 +2,8 @@
 package org.jujubelead.gateway.rank
 
 import com.github.michaelbull.result.get
-import io.netty.channel.EventLoop
 import org.jujubelead.core.time.Timestamp
-import org.jujubelead.gateway.net.HttpClient
-import org.jujubelead.gateway.net.ProcessClock
+import org.jujubelead.gateway.net.RpcClient
 import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.platform.wire.RankEndpoints
@@ -14,13 +12,13 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 internal class LocalRank(
-    private val replica: HttpClient,
-    private val loop: EventLoop,
+    private val replica: RpcClient,
+    private val runtime: AgentRuntime,
     private val decoders: WireDecoders = WireDecoders,
 ) {
     /** Passes a reading of the rank to [done]; null if the replica did not answer. */
     fun read(done: (RankReading?) -> Unit) {
-        val readAt = ProcessClock.now()
+        val readAt = runtime.clock.now()
         replica.get(RankEndpoints.REPORT_PATH) { result ->
             done(result.successBody()?.let { RankReading(readAt.micros, it) })
         }
@@ -35,7 +33,7 @@
             onAnswer()
             val status = result.get()?.status
             val loading = prepares != null && status in RankEndpoints.ACCEPTED_STATUSES
-            readUntil(ProcessClock.now() + if (loading) MAX_LOAD_TIME else Duration.ZERO, prepares) { reading ->
+            readUntil(runtime.clock.now() + if (loading) MAX_LOAD_TIME else Duration.ZERO, prepares) { reading ->
                 done(OrderResult(status, reading))
             }
         }
@@ -43,10 +41,10 @@
 
     /** Reads the rank until it has prepared the map of [version], at least once and no longer than until [end]. */
     private fun readUntil(end: Timestamp, version: Long?, done: (RankReading?) -> Unit) {
-        val reads = RepeatingTask(loop, "rank after order", waitTime = { LOAD_CHECK_INTERVAL }) { turn ->
+        val reads = RepeatingTask(runtime.loop, "rank after order", waitTime = { LOAD_CHECK_INTERVAL }) { turn ->
             read(
                 turn.step { reading ->
-                    val ended = ProcessClock.now() >= end || preparedVersion(reading) == version
+                    val ended = runtime.clock.now() >= end || preparedVersion(reading) == version
                     if (!ended) return@step turn.end()
                     turn.stopTask()
                     done(reading)
@@ -57,7 +55,7 @@
     }
 
     private fun preparedVersion(reading: RankReading?): Long? =
-        reading?.let { decoders.rankReport(it.report, ProcessClock.now()).get() }?.observation?.prepared?.value
+        reading?.let { decoders.rankReport(it.report, runtime.clock.now()).get() }?.observation?.prepared?.value
 
     private companion object {
         /** Loading experts takes a small part of this, unless the link of the replica is busy. */
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/OrderRelay.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/OrderRelay.kt
@@ -6,18 +6,15 @@
 package org.jujubelead.gateway.rank
 
 import com.github.michaelbull.result.get
-import io.netty.channel.EventLoop
 import org.jujubelead.core.expertmap.GroupMap
 import org.jujubelead.core.replica.Endpoint
-import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.successBody
-import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.decodeJson
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-internal class OrderRelay(private val loop: EventLoop, private val log: EventLog) {
+internal class OrderRelay(private val runtime: AgentRuntime) {
     /**
      * Relays [order] to the agents that it names, and passes their results to [done] once all have answered or timed
      * out. [map] is the map of an order to prepare one.
@@ -44,12 +41,17 @@
     /** Sends [order]; an agent that does not know the base of its map gets [complete] instead. */
     private fun sendTo(address: String, order: String, complete: Lazy<String>?, done: (RelayedResult) -> Unit) {
         val agent = Endpoint.parse(address) ?: return done(RelayedResult(address, result = null))
-        val client = HttpClient(agent, loop, if (complete == null) SMALL_ORDER_TIMEOUT else MAP_TIMEOUT)
+        val client = runtime.clients.connect(agent, if (complete == null) SMALL_ORDER_TIMEOUT else MAP_TIMEOUT)
         val ended = { status: Int?, body: String? ->
             client.close()
             val result = body?.let { decodeJson("order result", OrderResult.serializer(), it).get() }
             if (result == null) {
-                log.log(LogEvent.ORDER_NOT_RELAYED, "agent" to agent, "status" to status, "answered" to (body != null))
+                runtime.log.log(
+                    LogEvent.ORDER_NOT_RELAYED,
+                    "agent" to agent,
+                    "status" to status,
+                    "answered" to (body != null),
+                )
             }
             done(RelayedResult(address, result))
         }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgent.kt
@@ -0,0 +1,231 @@
+/**
+ * Agent of one rank: sends statuses of the local rank to the coordinator of its group, and carries out the
+ * coordinator's orders.
+ *
+ * It refuses orders of earlier terms than the highest one that it has followed. Runs on the agent's event loop.
+ */
+package org.jujubelead.gateway.rank
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import kotlinx.serialization.DeserializationStrategy
+import org.jujubelead.core.expertmap.GroupMap
+import org.jujubelead.core.expertmap.MapOrder
+import org.jujubelead.core.expertmap.MapVersion
+import org.jujubelead.core.ids.Revision
+import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.core.time.Timestamp
+import org.jujubelead.gateway.net.RpcClient
+import org.jujubelead.gateway.net.TextResponse
+import org.jujubelead.gateway.net.successBody
+import org.jujubelead.gateway.schedule.scheduleRepeating
+import org.jujubelead.gateway.telemetry.LogEvent
+import org.jujubelead.platform.wire.RankEndpoints
+import org.jujubelead.platform.wire.decodeExpertCounts
+import org.jujubelead.platform.wire.decodeJson
+import org.jujubelead.platform.wire.decodeRankReport
+import org.jujubelead.platform.wire.encodeOrder
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * @param own address of this agent.
+ * @param replica client of the local replica.
+ */
+internal class RankAgent(
+    private val own: Endpoint,
+    private val replica: RpcClient,
+    private val runtime: AgentRuntime,
+) {
+    /** Null until the replica belongs to a group. */
+    var rank: Int? = null
+        private set
+
+    /** Until then the coordinator counts as alive. */
+    var coordinatorAliveUntil = Timestamp.ZERO
+        private set
+
+    /** Highest coordinator term that this agent has followed or accepted an order of. */
+    private var term = 0L
+
+    /**
+     * False until the leader has been read from the store: an agent that has just started cannot recognize a deposed
+     * coordinator.
+     */
+    private var termKnown = false
+    private var ordersInFlight = 0
+    private var reportedAt = Timestamp.ZERO
+    private var choicesDueAt = Timestamp.ZERO
+    private val mapCache = MapCache()
+    private val localRank = LocalRank(replica, runtime)
+    private val relay = OrderRelay(runtime)
+    private val sampler = ChoiceSampler()
+    private var reply = StatusReply(sets = 0, interval = INITIAL_REPORT_MILLIS, changeInterval = INITIAL_REPORT_MILLIS)
+
+    /** Until then a map change is likely in progress, and the coordinator waits for each status. */
+    private var mapChangeUntil = Timestamp.ZERO
+    private var coordinator: RpcClient? = null
+
+    /** Starts to send statuses. */
+    fun start() {
+        runtime.loop.scheduleRepeating(TICK_MILLIS, "rank status", ::tick)
+    }
+
+    /** Reads the own rank and then calls [done]. */
+    fun readRank(done: () -> Unit) {
+        localRank.read { reading ->
+            if (reading != null) updateOwnRank(reading)
+            done()
+        }
+    }
+
+    /** Follows the coordinator at [leader], which leads since [since]; null while there is none. */
+    fun follow(leader: Endpoint?, since: Revision?) {
+        if (since != null) {
+            term = maxOf(term, since.value)
+            termKnown = true
+        }
+        if (coordinator?.endpoint != leader) {
+            coordinator?.close()
+            coordinator = leader?.let { runtime.clients.connect(it, STATUS_TIMEOUT) }
+        }
+        coordinatorAliveUntil = runtime.clock.now() + COORDINATOR_TIMEOUT
+    }
+
+    private fun tick() {
+        val now = runtime.clock.now()
+        val interval = if (now < mapChangeUntil) reply.changeInterval else reply.interval
+        if (now - reportedAt < interval.milliseconds) return
+        reportedAt = now
+        report()
+    }
+
+    /** Sends a status of the rank to the coordinator. */
+    fun report() {
+        val to = coordinator ?: return
+        // A status of a new term guarantees that this agent has no order of an earlier term in flight.
+        if (ordersInFlight > 0) return
+        val following = term
+        localRank.read { reading ->
+            if (reading == null) return@read
+            updateOwnRank(reading)
+            val now = runtime.clock.now()
+            // During a map change, statuses are frequent and leave out the counts.
+            if (now < choicesDueAt) return@read sendStatus(to, following, reading, ChoiceSampler.Sample(0, emptyList()))
+            choicesDueAt = now + reply.interval.milliseconds * CHOICES_INTERVAL_FRACTION
+            replica.get(RankEndpoints.EXPERT_COUNTS_PATH) { counted ->
+                val counts = counted.successBody()?.let { decodeExpertCounts(it).get() }
+                sendStatus(to, following, reading, sampler.sample(counts.orEmpty(), reply.sets, rank ?: 0))
+            }
+        }
+    }
+
+    private fun sendStatus(to: RpcClient, following: Long, reading: RankReading, sample: ChoiceSampler.Sample) {
+        val compact = CompactCounts.of(sample.choices)
+        val status = RankStatus(
+            term = following,
+            agent = own.toString(),
+            replica = replica.endpoint.toString(),
+            observed = reading,
+            firstSet = sample.firstSet,
+            choices = compact.text,
+            choiceUnit = compact.unit,
+        )
+        to.post(RankPaths.STATUS, rankJson.encodeToString(RankStatus.serializer(), status)) { answered ->
+            // A lost status is not resent; the next one replaces it.
+            val body = answered.successBody() ?: return@post
+            reply = runtime.decode(StatusReply.serializer(), body) ?: return@post
+            coordinatorAliveUntil = runtime.clock.now() + reply.interval.milliseconds + COORDINATOR_TIMEOUT
+        }
+    }
+
+    private fun updateOwnRank(reading: RankReading) {
+        decodeRankReport(reading.report, runtime.clock.now())
+            .onSuccess { rank = it.observation.rank }
+            .onFailure {
+                runtime.log.log(LogEvent.RANK_UNREADABLE, "replica" to replica.endpoint, "detail" to it.detail)
+            }
+    }
+
+    /** Carries out the order in [body] and relays it; answers with the results of all agents. */
+    fun handleOrder(body: String, answer: (TextResponse) -> Unit) {
+        val order = runtime.decode(RankOrder.serializer(), body) ?: return answer(UNREADABLE)
+        if (order.term < term || !termKnown) {
+            runtime.log.log(
+                LogEvent.ORDER_REFUSED,
+                "term" to order.term,
+                "known" to term,
+                "order" to (order.body ?: "prepare ${order.prepare?.version}"),
+            )
+            return answer(
+                TextResponse(STATUS_REFUSED, "order of an earlier term, or the current term is not known yet\n"),
+            )
+        }
+        val map = order.prepare?.let { mapCache.resolve(it) }
+        val forReplica = order.body ?: map?.let { prepareBody(checkNotNull(order.prepare), it) }
+            ?: return answer(TextResponse(STATUS_NOT_FOUND, "base of the map is not known\n"))
+        term = order.term
+        mapChangeUntil = runtime.clock.now() + MAP_CHANGE_TIME
+        var own: OrderResult? = null
+        var relayed: List<RelayedResult>? = null
+        val answerWhenComplete = {
+            val result = relayed?.let { own?.copy(relayed = it) }
+            if (result != null) {
+                answer(TextResponse(STATUS_OK, rankJson.encodeToString(OrderResult.serializer(), result)))
+            }
+        }
+        relay.send(order, map) {
+            relayed = it
+            answerWhenComplete()
+        }
+        ordersInFlight++
+        localRank.send(forReplica, prepares = order.prepare?.version, onAnswer = { ordersInFlight-- }) {
+            own = it
+            answerWhenComplete()
+        }
+    }
+
+    private fun prepareBody(prepare: PrepareOrder, map: GroupMap): String =
+        encodeOrder(MapOrder.Prepare(MapVersion(prepare.version), map), prepare.epoch)
+
+    /** Answers with the experts that the rank holds, as the replica names them. */
+    fun handleHeldExperts(answer: (TextResponse) -> Unit) {
+        replica.get(RankEndpoints.HELD_EXPERTS_PATH) { answer(it.get() ?: TextResponse(STATUS_UNAVAILABLE, "")) }
+    }
+
+    private companion object {
+        /** Timeout of calls between agents of one region. */
+        val STATUS_TIMEOUT: Duration = 200.milliseconds
+
+        /** A leader that has not replied to a status for this time may have lost its lease. */
+        val COORDINATOR_TIMEOUT: Duration = 1_200.milliseconds
+
+        /** Used until the coordinator has set the interval. */
+        const val INITIAL_REPORT_MILLIS = 500L
+
+        /** About the duration of a pass, which bounds the rate of statuses. */
+        const val TICK_MILLIS = 60L
+
+        /**
+         * Fraction of the status interval after which a status includes choices again; below 1, since ticks are coarse.
+         */
+        const val CHOICES_INTERVAL_FRACTION = 0.8
+
+        /** Loading experts and reaching a switch takes well under a second. */
+        val MAP_CHANGE_TIME: Duration = 1_000.milliseconds
+        val UNREADABLE = TextResponse(400, "unreadable message\n")
+        const val STATUS_OK = 200
+        const val STATUS_UNAVAILABLE = 503
+        const val STATUS_REFUSED = 409
+        const val STATUS_NOT_FOUND = 404
+    }
+}
+
+/** Returns null if [body] is not such a message: the address may belong to another process by now. */
+internal fun <T : Any> AgentRuntime.decode(deserializer: DeserializationStrategy<T>, body: String): T? =
+    decodeJson(deserializer.descriptor.serialName, deserializer, body).getOrElse {
+        log.log(LogEvent.RANK_UNREADABLE, "detail" to it.detail)
+        null
+    }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankClient.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankClient.kt
@@ -12,18 +12,14 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
-import io.netty.channel.EventLoop
 import org.jujubelead.core.expertmap.MapOrder
 import org.jujubelead.core.expertmap.RankObservation
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.CallFailure
-import org.jujubelead.gateway.net.HttpClient
-import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.schedule.InProgress
-import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.HeldExperts
 import org.jujubelead.platform.wire.RankEndpoints
@@ -39,17 +35,17 @@
     val agent: Endpoint,
     private val replica: Endpoint,
     private val term: Long,
-    loop: EventLoop,
-    private val log: EventLog,
+    private val runtime: AgentRuntime,
     private val decoders: WireDecoders = WireDecoders,
+    private val traffic: CoordinatorTraffic = CoordinatorTraffic(),
 ) {
-    private val agentClient = HttpClient(agent, loop, ORDER_TIMEOUT)
-    private val replicaClient = HttpClient(replica, loop, DIRECT_TIMEOUT)
+    private val agentClient = runtime.clients.connect(agent, ORDER_TIMEOUT)
+    private val replicaClient = runtime.clients.connect(replica, DIRECT_TIMEOUT)
     private var orderUnanswered = false
 
     /** True if the agent does not know the map that the last order was based on. */
     private var needsFullMap = false
-    private var lastAgentContactAt = ProcessClock.now()
+    private var lastAgentContactAt = runtime.clock.now()
     private val directRead = InProgress(MAX_CALL_TIME)
     private var nextDirectReadAt = Timestamp.ZERO
 
@@ -70,20 +66,21 @@
      * after a successful read.
      */
     fun readDirectly(done: () -> Unit) {
-        val now = ProcessClock.now()
+        val now = runtime.clock.now()
         if (directRead.at(now) || now < nextDirectReadAt) return
         directRead.begin(now)
         replicaClient.get(RankEndpoints.REPORT_PATH) { result ->
             directRead.end()
             val report = result.successBody()
-            nextDirectReadAt = ProcessClock.now() + if (report == null) FAILED_READ_DELAY else DIRECT_READ_INTERVAL
-            if (report != null && update(report, ProcessClock.now())) done()
+            traffic.record(MessageKind.DIRECT_READ, report?.length ?: 0)
+            nextDirectReadAt = runtime.clock.now() + if (report == null) FAILED_READ_DELAY else DIRECT_READ_INTERVAL
+            if (report != null && update(report, runtime.clock.now())) done()
         }
     }
 
     /** Handles a reading from the agent. Readings older than the latest one are dropped. */
     fun onReading(reading: RankReading) {
-        val now = ProcessClock.now()
+        val now = runtime.clock.now()
         lastAgentContactAt = now
         orderUnanswered = false
         val last = observation
@@ -95,7 +92,7 @@
 
     private fun update(report: String, now: Timestamp): Boolean {
         val read = decoders.rankReport(report, now).getOrElse {
-            log.log(LogEvent.RANK_UNREADABLE, "replica" to replica, "detail" to it.detail)
+            runtime.log.log(LogEvent.RANK_UNREADABLE, "replica" to replica, "detail" to it.detail)
             return false
         }
         observation = read.observation
@@ -113,7 +110,7 @@
         done: () -> Unit,
     ): Boolean {
         val seen = observation ?: return false
-        val now = ProcessClock.now()
+        val now = runtime.clock.now()
         if (!isDue(order, now)) return false
         orderInFlight.begin(now)
         relayTo.forEach { it.orderInFlight.begin(now) }
@@ -155,7 +152,10 @@
         }
         val message = rankJson.encodeToString(RankOrder.serializer(), forAgent)
         val timeout = if (order is MapOrder.Prepare && relayTo.isNotEmpty()) RELAYED_MAP_TIMEOUT else ORDER_TIMEOUT
+        traffic.record(MessageKind.ORDER, message.length)
         agentClient.post(RankPaths.ORDER, message, timeout) { result ->
+            traffic.record(MessageKind.RESULT, result.get()?.body?.length ?: 0)
+            traffic.recordOrderEnd(sentAt, runtime.clock.now(), answered = result.get() != null)
             try {
                 onOrderAnswer(order, result, relayTo, sentAt)
             } finally {
@@ -185,7 +185,7 @@
     /** An agent whose answer cannot be read counts as silent, so that an order that ends a hold bypasses it. */
     private fun decodeResult(body: String): OrderResult? =
         decodeJson("order result", OrderResult.serializer(), body).getOrElse {
-            log.log(LogEvent.RANK_UNREADABLE, "agent" to agent, "detail" to it.detail)
+            runtime.log.log(LogEvent.RANK_UNREADABLE, "agent" to agent, "detail" to it.detail)
             null
         }
 
@@ -216,16 +216,16 @@
                 orderInFlight.end()
                 val report = read.successBody()
                 logOrderEnd(order, result.get()?.status, report, sentAt)
-                if (report != null) update(report, ProcessClock.now())
+                if (report != null) update(report, runtime.clock.now())
                 done()
             }
         }
     }
 
     private fun logOrderEnd(order: MapOrder, status: Int?, report: String?, sentAt: Timestamp) {
-        val now = ProcessClock.now()
+        val now = runtime.clock.now()
         val done = status in RankEndpoints.ACCEPTED_STATUSES
-        log.log(
+        runtime.log.log(
             if (done) LogEvent.MAP_ORDER_ENDED else LogEvent.MAP_ORDER_FAILED,
             "rank" to observation?.rank,
             "order" to order,
@@ -247,7 +247,7 @@
         agentClient.get(RankPaths.HELD_EXPERTS) { result ->
             val body = result.successBody() ?: return@get done(null)
             val held = decoders.heldExperts(body).getOrElse {
-                log.log(LogEvent.RANK_UNREADABLE, "replica" to replica, "detail" to it.detail)
+                runtime.log.log(LogEvent.RANK_UNREADABLE, "replica" to replica, "detail" to it.detail)
                 null
             }
             done(held)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/SlowRankReporter.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/SlowRankReporter.kt
@@ -20,6 +20,14 @@
 import org.jujubelead.gateway.peers.SlowRankReport
 import java.net.InetSocketAddress
 
+/** Receives the slow ranks of a group. */
+internal interface SlowRankReports {
+    /** Reports the relative step times of the slow ranks, by the address of their replica. */
+    fun report(paces: Map<Endpoint, Double>)
+
+    fun close()
+}
+
 /** @param host own address, from which reports are sent. */
 internal class SlowRankReporter(
     host: String,
@@ -27,7 +35,7 @@
     private val term: Long,
     store: HttpClient,
     loop: EventLoop,
-) {
+) : SlowRankReports {
     private val channel: Channel = Bootstrap().group(loop).channel(NioDatagramChannel::class.java)
         .handler(object : ChannelInboundHandlerAdapter() {
             override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
@@ -41,8 +49,7 @@
     private var last: Map<Endpoint, Double> = emptyMap()
     private var repeats = 0
 
-    /** Reports the relative step times of the slow ranks, by the address of their replica. */
-    fun report(paces: Map<Endpoint, Double>) {
+    override fun report(paces: Map<Endpoint, Double>) {
         if (paces != last) repeats = RECOVERY_REPEATS
         last = paces
         if (paces.isEmpty() && repeats-- <= 0) return
@@ -58,7 +65,7 @@
         channel.flush()
     }
 
-    fun close() {
+    override fun close() {
         list.stop()
         channel.close()
     }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
@@ -46,6 +46,7 @@
     LEADER_UNREADABLE("JJ-6309"),
     ELECTION_LOST("JJ-6310"),
     ORDER_NOT_RELAYED("JJ-6311"),
+    COORDINATOR_TRAFFIC("JJ-6312"),
     DEFECT("JJ-6901"),
     LINES_DROPPED("JJ-6902"),
 }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/GroupCoordinatorTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/GroupCoordinatorTest.kt
@@ -36,11 +36,11 @@
 class GroupCoordinatorTest {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
-    private val log = EventLog()
+    private val runtime = AgentRuntime(loop, EventLog())
     private val received = ConcurrentLinkedQueue<RankOrder>()
 
     private inner class Agent(val rank: Int) {
-        private val relay = OrderRelay(loop, log)
+        private val relay = OrderRelay(runtime)
         private val maps = MapCache()
 
         @Volatile
@@ -96,8 +96,7 @@
     private val heldExpertsFailures = AtomicInteger()
 
     private val coordinator = GroupCoordinator(
-        loop = loop,
-        log = log,
+        runtime = runtime,
         layout = ExpertLayout(
             sets = 1,
             experts = 2 * RANKS,
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/RankClientTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/RankClientTest.kt
@@ -58,8 +58,7 @@
         endpoint(agent),
         endpoint(replica),
         term = 1,
-        loop = group.next(),
-        log = EventLog(),
+        runtime = AgentRuntime(group.next(), EventLog()),
     ).apply {
         onReading(RankReading(readAtMicros = 1, report = report("null")))
     }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/RankLoopsTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/RankLoopsTest.kt
@@ -61,7 +61,7 @@
     /** Creates the client of a rank whose agent answers orders with [result]. */
     private fun clientOf(result: String): RankClient {
         val agent = serve(mapOf(RankPaths.ORDER to { _, answer -> answer(TextResponse(200, result)) }))
-        return RankClient(agent, replica, term = 1, loop, EventLog(), decoders).apply {
+        return RankClient(agent, replica, term = 1, AgentRuntime(loop, EventLog()), decoders).apply {
             onReading(RankReading(readAtMicros = 1, report = report))
         }
     }
@@ -109,7 +109,7 @@
     fun `an order is answered although the reports after it cannot be handled`() {
         failing.set(true)
         val result = CompletableFuture<OrderResult>()
-        val rank = LocalRank(HttpClient(replica, loop, 1.seconds), loop, decoders)
+        val rank = LocalRank(HttpClient(replica, loop, 1.seconds), AgentRuntime(loop, EventLog()), decoders)
         loop.execute { rank.send("{}", prepares = 7, onAnswer = {}) { result.complete(it) } }
         expectThat(result.get(5, TimeUnit.SECONDS).status).isEqualTo(200)
     }
