Send coordinators only what they need of a rank

What callers saw: with 129 ranks every open stream paused for up to 1.4 s at each change of the map, as the group stood still until all ranks were armed.

Cause: the messages of a change filled the coordinator's link. Each result of an order carried the whole report of its rank, and during a change all agents sent a status every 2 ms x ranks, that is 500 a second at any size. Timeouts of 300 and 450 ms then began batches again that were about to be answered.

Change: an agent decodes the report and sends a dozen numbers. Results of relayed orders come in the order in which the order names the agents. An agent waits until the rank shows the effect of an order, and sends extra statuses only if it does not. The coordinator reads the pass from the local rank, and takes a switch as done everywhere once one rank has begun its pass, as armed ranks switch together. Timeouts of orders follow the answers. A map is encoded once for all ranks.

RankLoopsTest gets its unreadable reading as malformed text in four forms, since the coordinator decodes no reports in answers any more.

--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/MapChange.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/MapChange.kt
@@ -95,15 +95,41 @@
     /** Returns the orders to send now, at most one per rank. [view] has the latest observation of each rank. */
     public fun nextOrders(view: Map<Int, RankObservation>, now: Timestamp): Map<Int, MapOrder> {
         if (!complete(view)) return emptyMap()
-        trackView(view)
+        val current = withCommonPasses(view)
+        trackView(current)
         repeat(MAX_TRANSITIONS) {
             val before = phase
-            val orders = advance(view, now)
+            val orders = advance(current, now)
             if (phase == before) return orders
         }
         return emptyMap()
     }
 
+    /**
+     * Brings all observations to the latest pass that a rank has begun. The ranks begin each pass together, a rank that
+     * is armed for a pass switches in it, and no pass begins before its hold is released. So one new observation tells
+     * that a switch has taken place, whatever the number of ranks.
+     */
+    private fun withCommonPasses(view: Map<Int, RankObservation>): Map<Int, RankObservation> {
+        val begun = view.values.maxOf { it.step }
+        return view.mapValues { (_, o) ->
+            val switched = o.armed?.takeIf { it.step <= begun }
+            val released = o.heldAt != null && o.heldAt <= begun
+            when {
+                switched != null -> o.copy(
+                    map = switched.version,
+                    prepared = null,
+                    armed = null,
+                    heldAt = o.heldAt.takeUnless { released },
+                )
+
+                released -> o.copy(heldAt = null)
+
+                else -> o
+            }
+        }
+    }
+
     /** True if [view] contains one observation of each rank of a single open group. */
     public fun complete(view: Map<Int, RankObservation>): Boolean {
         val first = view.values.firstOrNull() ?: return false
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/RpcClient.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/RpcClient.kt
@@ -5,7 +5,7 @@
 import org.jujubelead.core.replica.Endpoint
 import kotlin.time.Duration
 
-/** Makes calls to [endpoint]. Every call ends: with a complete response, or as a failure once its timeout has passed. */
+/** Makes calls to [endpoint]. Each call ends with a complete response, or as a failure once its timeout has passed. */
 public interface RpcClient {
     public val endpoint: Endpoint
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/CompactEncoding.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/CompactEncoding.kt
@@ -16,17 +16,29 @@
 private const val PAYLOAD_MASK = 0x7f
 private const val CONTINUATION_BIT = 0x80
 private const val PAYLOAD_BITS = 7
+private const val SIGN_SHIFT = 63
 
-private class VarintWriter {
+/** Writes numbers as varints. */
+internal class VarintWriter {
     private val out = ByteArrayOutputStream()
 
-    fun number(value: Int) {
+    fun number(value: Int): Unit = unsigned(value.toLong())
+
+    /** Writes a number that may be negative. */
+    fun signed(value: Long): Unit = unsigned((value shl 1) xor (value shr SIGN_SHIFT))
+
+    fun optional(value: Long?) {
+        number(if (value == null) 0 else 1)
+        if (value != null) signed(value)
+    }
+
+    private fun unsigned(value: Long) {
         var rest = value
-        while (rest > PAYLOAD_MASK) {
-            out.write((rest and PAYLOAD_MASK) or CONTINUATION_BIT)
+        while (rest and PAYLOAD_MASK.toLong().inv() != 0L) {
+            out.write((rest.toInt() and PAYLOAD_MASK) or CONTINUATION_BIT)
             rest = rest ushr PAYLOAD_BITS
         }
-        out.write(rest)
+        out.write(rest.toInt())
     }
 
     fun numbers(values: List<Int>) {
@@ -37,17 +49,24 @@
     fun text(): String = Base64.getEncoder().encodeToString(out.toByteArray())
 }
 
-private class VarintReader(text: String) {
+/** Reads what a [VarintWriter] wrote. Its functions throw [IllegalArgumentException] at the end of the text. */
+internal class VarintReader(text: String) {
     private val bytes = Base64.getDecoder().decode(text)
     private var next = 0
 
-    fun number(): Int {
-        var value = 0
+    fun number(): Int = unsigned().toInt()
+
+    fun signed(): Long = unsigned().let { (it ushr 1) xor -(it and 1) }
+
+    fun optional(): Long? = if (number() == 0) null else signed()
+
+    private fun unsigned(): Long {
+        var value = 0L
         var shift = 0
         while (true) {
-            require(next < bytes.size) { "truncated varint" }
+            require(next < bytes.size && shift < Long.SIZE_BITS) { "malformed varint" }
             val byte = bytes[next++].toInt()
-            value = value or ((byte and PAYLOAD_MASK) shl shift)
+            value = value or ((byte and PAYLOAD_MASK).toLong() shl shift)
             if (byte and CONTINUATION_BIT == 0) return value
             shift += PAYLOAD_BITS
         }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -14,11 +14,8 @@
 import org.jujubelead.core.expertmap.MapVersion
 import org.jujubelead.core.expertmap.OrderBatch
 import org.jujubelead.core.expertmap.RankObservation
-import org.jujubelead.core.expertmap.SwitchDuration
-import org.jujubelead.core.expertmap.VersionedMap
 import org.jujubelead.core.expertmap.batchesOf
 import org.jujubelead.core.ids.Revision
-import org.jujubelead.core.placement.ExpertPlacement
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.route.ExpertLayout
 import org.jujubelead.core.time.Timestamp
@@ -36,6 +33,8 @@
  * @param since revision at which this process became the leader. It is the coordinator's term, and the versions of its
  * maps are above those of earlier leaders.
  * @param ownRank rank of the local replica.
+ * @param reportOwnRank makes the local agent send a status. It tells the pass of the whole group without any use of the
+ * link.
  * @param confirmLeadership checks in the store whether this process is still the leader.
  * @param reporter receives the slow ranks.
  */
@@ -44,6 +43,7 @@
     private val layout: ExpertLayout,
     private val since: Revision,
     private val ownRank: () -> Int,
+    private val reportOwnRank: () -> Unit,
     private val confirmLeadership: ((Boolean) -> Unit) -> Unit,
     private val reporter: SlowRankReports,
     private val planInterval: Duration = PLAN_INTERVAL,
@@ -55,14 +55,17 @@
     private val planner = MapPlanner(layout)
     private var plannedAt = Timestamp.ZERO
     private val confirmation = InProgress(MAX_CONFIRMATION_TIME)
-    private val heldExpertsRead = InProgress(MAX_HELD_EXPERTS_TIME)
+    private val heldExperts = HeldExpertsReader(layout.sets, runtime.clock)
     private var stopped = false
     private var lastPhase: ChangePhase = ChangePhase.Idle
     private var wasComplete = false
     private var mapsInFlight = 0
     private var evaluationDue = false
-    private val switchDuration = SwitchDuration()
-    private val traffic = CoordinatorTraffic()
+    private val dispatch = OrderDispatch()
+    private val traffic = dispatch.traffic
+    private val switchDuration = dispatch.switchDuration
+    private var ownRankReportedAt = Timestamp.ZERO
+    private var tickedAt: Timestamp? = null
     private var phaseSince = runtime.clock.now()
     private var passTime = Duration.ZERO
     private var lastLoggedStep = 0L
@@ -96,7 +99,7 @@
         val replica = Endpoint.parse(status.replica) ?: return
         val agent = Endpoint.parse(status.agent) ?: return
         val client = clients[replica]?.takeIf { it.agent == agent }
-            ?: RankClient(agent, replica, since.value, runtime, decoders, traffic)
+            ?: RankClient(agent, replica, since.value, runtime, decoders, dispatch)
                 .also { clients.put(replica, it)?.close() }
         client.onReading(status.observed)
         planner.recordChoices(status.firstSet, CompactCounts(status.choiceUnit, status.choices).counts(), now)
@@ -143,9 +146,15 @@
     /** Plans one step, and evaluates the change also when no status arrives. */
     private fun tick() {
         if (ended) return
+        val now = runtime.clock.now()
+        tickedAt?.let { traffic.recordLoopDelay(now - it - TICK_MILLIS.milliseconds) }
+        tickedAt = now
         readSilentRanks()
+        if (!change.idle && now - ownRankReportedAt >= OWN_RANK_INTERVAL) {
+            ownRankReportedAt = now
+            reportOwnRank()
+        }
         evaluate()
-        val now = runtime.clock.now()
         val current = change.current ?: return
         if (!change.idle || stopped || !wasComplete) return
         if (planner.idle && now - plannedAt >= planInterval) plan(current, view(now), now)
@@ -186,8 +195,12 @@
         logPhase()
         when {
             change.phase is ChangePhase.Proving -> confirmStillLeader()
+
             !change.idle || stopped -> Unit
-            change.current == null -> readHeldExperts(view)
+
+            change.current == null -> heldExperts.read(view, ::client, { view(runtime.clock.now()) }) { map ->
+                map?.let(change::updateCurrent)
+            }
         }
     }
 
@@ -237,37 +250,6 @@
         }
     }
 
-    /** Reads the experts that all ranks hold. */
-    private fun readHeldExperts(view: Map<Int, RankObservation>) {
-        if (heldExpertsRead.at(runtime.clock.now())) return
-        heldExpertsRead.begin(runtime.clock.now())
-        val version = view.values.map { it.map }.toSet().singleOrNull()
-        val held = HashMap<Int, HeldExperts>()
-        var pending = view.size
-        for (rank in view.keys) {
-            val asked = client(rank)
-            val answered = { experts: HeldExperts? ->
-                if (experts != null) held[rank] = experts
-                pending--
-                if (pending == 0) onHeldExperts(held, version)
-            }
-            if (asked == null) answered(null) else asked.heldExperts(answered)
-        }
-    }
-
-    /** Uses the experts of the ranks if all of them are those of the map of [version]. */
-    private fun onHeldExperts(held: Map<Int, HeldExperts>, version: MapVersion?) {
-        heldExpertsRead.end()
-        val now = runtime.clock.now()
-        val view = view(now)
-        val whole = view.size == held.size && held.values.all { it.sets.size == layout.sets }
-        if (held.values.any { it.version != null && it.version != version }) return
-        if (version == null || !whole || view.values.any { it.map != version }) return
-        val ranks = held.toSortedMap().values
-        val map = List(layout.sets) { set -> ExpertPlacement(ranks.map { it.sets[set].sorted() }) }
-        change.updateCurrent(VersionedMap(version, map))
-    }
-
     /** Plans one set. The next set is planned after the event loop has handled the events that arrived meanwhile. */
     private fun plan(current: GroupMap, view: Map<Int, RankObservation>, now: Timestamp) {
         if (planner.idle) plannedAt = now
@@ -351,9 +333,6 @@
         /** Longer than the timeout of the call to the store. */
         val MAX_CONFIRMATION_TIME: Duration = 3.seconds
 
-        /** Longer than the timeout of the calls to the agents, which are made at the same time. */
-        val MAX_HELD_EXPERTS_TIME: Duration = 3.seconds
-
         /** Observations are not used after this number of status intervals. */
         const val MAX_AGE_INTERVALS = 4
 
@@ -375,7 +354,10 @@
         /** Allows 125 statuses of two kilobytes a second, a third of the smallest link among the users' deployments. */
         val INTERVAL_PER_RANK: Duration = 8.milliseconds
 
-        /** Interval of statuses during the second of a map change. Most results come with the answers to orders. */
+        /** About the duration of a short pass. */
+        val OWN_RANK_INTERVAL: Duration = 60.milliseconds
+
+        /** Interval of the statuses of agents whose last order has had no effect yet. */
         val MIN_CHANGE_INTERVAL: Duration = 60.milliseconds
         val CHANGE_INTERVAL_PER_RANK: Duration = 2.milliseconds
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/OrderRelay.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/OrderRelay.kt
@@ -19,19 +19,21 @@
      * Relays [order] to the agents that it names, and passes their results to [done] once all have answered or timed
      * out. [map] is the map of an order to prepare one.
      */
-    fun send(order: RankOrder, map: GroupMap?, done: (List<RelayedResult>) -> Unit) {
+    fun send(order: RankOrder, map: GroupMap?, done: (List<OrderResult?>) -> Unit) {
         if (order.relayTo.isEmpty()) return done(emptyList())
-        val relayed = encode(order.copy(relayTo = emptyList()))
+        val relayed = encode(order.copy(relayTo = emptyList(), relayMillis = 0))
         val complete = order.prepare?.takeIf { map != null }?.let { p ->
             lazy {
-                encode(RankOrder(order.term, null, PrepareOrder(p.version, p.epoch, map = encodeMap(map.orEmpty()))))
+                val prepare = PrepareOrder(p.version, p.epoch, map = encodeMap(map.orEmpty()))
+                encode(RankOrder(order.term, body = null, prepare = prepare, expected = order.expected))
             }
         }
-        val results = ArrayList<RelayedResult>()
-        for (address in order.relayTo) {
-            sendTo(address, relayed, complete) {
-                results += it
-                if (results.size == order.relayTo.size) done(results)
+        val results = arrayOfNulls<OrderResult>(order.relayTo.size)
+        var pending = results.size
+        order.relayTo.forEachIndexed { i, address ->
+            sendTo(address, order.relayMillis.milliseconds, relayed, complete) {
+                results[i] = it
+                if (--pending == 0) done(results.asList())
             }
         }
     }
@@ -39,9 +41,15 @@
     private fun encode(order: RankOrder): String = rankJson.encodeToString(RankOrder.serializer(), order)
 
     /** Sends [order]; an agent that does not know the base of its map gets [complete] instead. */
-    private fun sendTo(address: String, order: String, complete: Lazy<String>?, done: (RelayedResult) -> Unit) {
-        val agent = Endpoint.parse(address) ?: return done(RelayedResult(address, result = null))
-        val client = runtime.clients.connect(agent, if (complete == null) SMALL_ORDER_TIMEOUT else MAP_TIMEOUT)
+    private fun sendTo(
+        address: String,
+        timeout: Duration,
+        order: String,
+        complete: Lazy<String>?,
+        done: (OrderResult?) -> Unit,
+    ) {
+        val agent = Endpoint.parse(address) ?: return done(null)
+        val client = runtime.clients.connect(agent, timeout)
         val ended = { status: Int?, body: String? ->
             client.close()
             val result = body?.let { decodeJson("order result", OrderResult.serializer(), it).get() }
@@ -53,7 +61,7 @@
                     "answered" to (body != null),
                 )
             }
-            done(RelayedResult(address, result))
+            done(result)
         }
         client.post(RankPaths.ORDER, order) { first ->
             if (first.get()?.status == STATUS_NOT_FOUND && complete != null) {
@@ -65,11 +73,6 @@
     }
 
     private companion object {
-        /** The group waits for orders without a map. */
-        val SMALL_ORDER_TIMEOUT: Duration = 300.milliseconds
-
-        /** Covers maps that are queued on the link, and the time in which the receiver's replica loads experts. */
-        val MAP_TIMEOUT: Duration = 800.milliseconds
         const val STATUS_NOT_FOUND = 404
     }
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgent.kt
@@ -8,8 +8,6 @@
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
-import com.github.michaelbull.result.onFailure
-import com.github.michaelbull.result.onSuccess
 import kotlinx.serialization.DeserializationStrategy
 import org.jujubelead.core.expertmap.GroupMap
 import org.jujubelead.core.expertmap.MapOrder
@@ -25,7 +23,6 @@
 import org.jujubelead.platform.wire.RankEndpoints
 import org.jujubelead.platform.wire.decodeExpertCounts
 import org.jujubelead.platform.wire.decodeJson
-import org.jujubelead.platform.wire.decodeRankReport
 import org.jujubelead.platform.wire.encodeOrder
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -64,8 +61,8 @@
     private val sampler = ChoiceSampler()
     private var reply = StatusReply(sets = 0, interval = INITIAL_REPORT_MILLIS, changeInterval = INITIAL_REPORT_MILLIS)
 
-    /** Until then a map change is likely in progress, and the coordinator waits for each status. */
-    private var mapChangeUntil = Timestamp.ZERO
+    /** Until then the coordinator waits for the effect of an order, which the answer to it did not show. */
+    private var effectDueUntil = Timestamp.ZERO
     private var coordinator: RpcClient? = null
 
     /** Starts to send statuses. */
@@ -76,7 +73,7 @@
     /** Reads the own rank and then calls [done]. */
     fun readRank(done: () -> Unit) {
         localRank.read { reading ->
-            if (reading != null) updateOwnRank(reading)
+            if (reading != null) rank = reading.observation.rank
             done()
         }
     }
@@ -96,7 +93,7 @@
 
     private fun tick() {
         val now = runtime.clock.now()
-        val interval = if (now < mapChangeUntil) reply.changeInterval else reply.interval
+        val interval = if (now < effectDueUntil) reply.changeInterval else reply.interval
         if (now - reportedAt < interval.milliseconds) return
         reportedAt = now
         report()
@@ -110,9 +107,9 @@
         val following = term
         localRank.read { reading ->
             if (reading == null) return@read
-            updateOwnRank(reading)
+            rank = reading.observation.rank
             val now = runtime.clock.now()
-            // During a map change, statuses are frequent and leave out the counts.
+            // Statuses in quick succession leave out the counts.
             if (now < choicesDueAt) return@read sendStatus(to, following, reading, ChoiceSampler.Sample(0, emptyList()))
             choicesDueAt = now + reply.interval.milliseconds * CHOICES_INTERVAL_FRACTION
             replica.get(RankEndpoints.EXPERT_COUNTS_PATH) { counted ->
@@ -141,14 +138,6 @@
         }
     }
 
-    private fun updateOwnRank(reading: RankReading) {
-        decodeRankReport(reading.report, runtime.clock.now())
-            .onSuccess { rank = it.observation.rank }
-            .onFailure {
-                runtime.log.log(LogEvent.RANK_UNREADABLE, "replica" to replica.endpoint, "detail" to it.detail)
-            }
-    }
-
     /** Carries out the order in [body] and relays it; answers with the results of all agents. */
     fun handleOrder(body: String, answer: (TextResponse) -> Unit) {
         val order = runtime.decode(RankOrder.serializer(), body) ?: return answer(UNREADABLE)
@@ -167,9 +156,8 @@
         val forReplica = order.body ?: map?.let { prepareBody(checkNotNull(order.prepare), it) }
             ?: return answer(TextResponse(STATUS_NOT_FOUND, "base of the map is not known\n"))
         term = order.term
-        mapChangeUntil = runtime.clock.now() + MAP_CHANGE_TIME
         var own: OrderResult? = null
-        var relayed: List<RelayedResult>? = null
+        var relayed: List<OrderResult?>? = null
         val answerWhenComplete = {
             val result = relayed?.let { own?.copy(relayed = it) }
             if (result != null) {
@@ -181,12 +169,18 @@
             answerWhenComplete()
         }
         ordersInFlight++
-        localRank.send(forReplica, prepares = order.prepare?.version, onAnswer = { ordersInFlight-- }) {
-            own = it
+        localRank.send(forReplica, order.expected, onAnswer = { ordersInFlight-- }) { result ->
+            effectDueUntil = if (lacksEffect(result, order)) runtime.clock.now() + MAX_EFFECT_TIME else Timestamp.ZERO
+            own = result
             answerWhenComplete()
         }
     }
 
+    private fun lacksEffect(result: OrderResult, order: RankOrder): Boolean {
+        val seen = result.observed?.observation ?: return true
+        return order.expected?.shownBy(seen) == false
+    }
+
     private fun prepareBody(prepare: PrepareOrder, map: GroupMap): String =
         encodeOrder(MapOrder.Prepare(MapVersion(prepare.version), map), prepare.epoch)
 
@@ -196,8 +190,8 @@
     }
 
     private companion object {
-        /** Timeout of calls between agents of one region. */
-        val STATUS_TIMEOUT: Duration = 200.milliseconds
+        /** A status that is late is still of use; it is not repeated. */
+        val STATUS_TIMEOUT: Duration = 1_000.milliseconds
 
         /** A leader that has not replied to a status for this time may have lost its lease. */
         val COORDINATOR_TIMEOUT: Duration = 1_200.milliseconds
@@ -213,8 +207,8 @@
          */
         const val CHOICES_INTERVAL_FRACTION = 0.8
 
-        /** Loading experts and reaching a switch takes well under a second. */
-        val MAP_CHANGE_TIME: Duration = 1_000.milliseconds
+        /** Loading experts takes well under a second. */
+        val MAX_EFFECT_TIME: Duration = 1_000.milliseconds
         val UNREADABLE = TextResponse(400, "unreadable message\n")
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -135,6 +135,7 @@
             layout = layout,
             since = since,
             ownRank = { agent.rank ?: 0 },
+            reportOwnRank = agent::report,
             confirmLeadership = election::confirmLeadership,
             reporter = SlowRankReporter(own.host, service, since.value, store, loop),
         )
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankClient.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankClient.kt
@@ -37,9 +37,10 @@
     private val term: Long,
     private val runtime: AgentRuntime,
     private val decoders: WireDecoders = WireDecoders,
-    private val traffic: CoordinatorTraffic = CoordinatorTraffic(),
+    private val dispatch: OrderDispatch = OrderDispatch(),
 ) {
-    private val agentClient = runtime.clients.connect(agent, ORDER_TIMEOUT)
+    private val traffic = dispatch.traffic
+    private val agentClient = runtime.clients.connect(agent, HELD_EXPERTS_TIMEOUT)
     private val replicaClient = runtime.clients.connect(replica, DIRECT_TIMEOUT)
     private var orderUnanswered = false
 
@@ -87,7 +88,8 @@
         // The agent's clock restarts with its instance, so readings are compared only within a short time.
         val comparable = last != null && now - last.observedAt < MAX_COMPARABLE_AGE
         if (comparable && reading.readAtMicros < readAtMicros) return
-        if (update(reading.report, now)) readAtMicros = reading.readAtMicros
+        observation = reading.observation.copy(observedAt = now)
+        readAtMicros = reading.readAtMicros
     }
 
     private fun update(report: String, now: Timestamp): Boolean {
@@ -136,24 +138,19 @@
         sentAt: Timestamp,
         done: () -> Unit,
     ) {
-        val forAgent = when (order) {
-            is MapOrder.Prepare -> RankOrder(
-                term = term,
-                body = null,
-                prepare = prepareOrder(order, epoch),
-                relayTo = relayTo.map { it.agent.toString() },
-            )
-
-            is MapOrder.Arm, is MapOrder.Hold, is MapOrder.Release -> RankOrder(
-                term = term,
-                body = encodeOrder(order, epoch),
-                relayTo = relayTo.map { it.agent.toString() },
-            )
-        }
+        val timeout = dispatch.timeoutOf(order)
+        val isMap = order is MapOrder.Prepare
+        val forAgent = RankOrder(
+            term = term,
+            body = if (isMap) null else encodeOrder(order, epoch),
+            prepare = (order as? MapOrder.Prepare)?.let { dispatch.prepareOrder(it, epoch, complete = needsFullMap) },
+            expected = ExpectedState.of(order),
+            relayTo = relayTo.map { it.agent.toString() },
+            relayMillis = if (relayTo.isEmpty()) 0 else timeout.current.inWholeMilliseconds,
+        )
         val message = rankJson.encodeToString(RankOrder.serializer(), forAgent)
-        val timeout = if (order is MapOrder.Prepare && relayTo.isNotEmpty()) RELAYED_MAP_TIMEOUT else ORDER_TIMEOUT
         traffic.record(MessageKind.ORDER, message.length)
-        agentClient.post(RankPaths.ORDER, message, timeout) { result ->
+        agentClient.post(RankPaths.ORDER, message, timeout.current * AGENT_TIMEOUT_FACTOR) { result ->
             traffic.record(MessageKind.RESULT, result.get()?.body?.length ?: 0)
             traffic.recordOrderEnd(sentAt, runtime.clock.now(), answered = result.get() != null)
             try {
@@ -175,11 +172,16 @@
         val outcome = body?.let(::decodeResult)
         val answered = result.get() != null && (body == null || outcome != null)
         orderEnded(order, outcome, answered, sentAt)
-        val relayed = outcome?.relayed.orEmpty().associateBy { it.agent }
-        for (client in relayTo) {
-            val ofClient = relayed[client.agent.toString()]?.result
+        val relayed = outcome?.relayed.orEmpty()
+        relayTo.forEachIndexed { i, client ->
+            val ofClient = relayed.getOrNull(i)
             client.orderEnded(order, ofClient, answered = outcome == null || ofClient != null, sentAt)
         }
+        // A relay that waited for another agent says nothing about how long answers take.
+        when {
+            result.get() == null -> dispatch.timeoutOf(order).expired()
+            null !in relayed -> dispatch.answered(order, runtime.clock.now() - sentAt)
+        }
     }
 
     /** An agent whose answer cannot be read counts as silent, so that an order that ends a hold bypasses it. */
@@ -193,36 +195,22 @@
     private fun orderEnded(order: MapOrder, outcome: OrderResult?, answered: Boolean, sentAt: Timestamp) {
         orderInFlight.end()
         orderUnanswered = !answered
-        logOrderEnd(order, outcome?.status, outcome?.observed?.report, sentAt)
+        logOrderEnd(order, outcome?.status, outcome?.observed?.observation, sentAt)
         outcome?.observed?.let(::onReading)
     }
 
-    private fun prepareOrder(order: MapOrder.Prepare, epoch: Long): PrepareOrder {
-        val version = order.version.value
-        val base = order.base
-        if (base == null || needsFullMap) return PrepareOrder(version, epoch, map = encodeMap(order.map))
-        return PrepareOrder(
-            version = version,
-            epoch = epoch,
-            base = base.version.value,
-            initial = InitialMap.shapeOf(base.map),
-            changes = encodeChanges(base.map, order.map),
-        )
-    }
-
     private fun sendDirectly(order: MapOrder, body: String, sentAt: Timestamp, done: () -> Unit) {
         replicaClient.post(RankEndpoints.ORDER_PATH, body) { result ->
             replicaClient.get(RankEndpoints.REPORT_PATH) { read ->
                 orderInFlight.end()
-                val report = read.successBody()
-                logOrderEnd(order, result.get()?.status, report, sentAt)
-                if (report != null) update(report, runtime.clock.now())
+                read.successBody()?.let { update(it, runtime.clock.now()) }
+                logOrderEnd(order, result.get()?.status, observation, sentAt)
                 done()
             }
         }
     }
 
-    private fun logOrderEnd(order: MapOrder, status: Int?, report: String?, sentAt: Timestamp) {
+    private fun logOrderEnd(order: MapOrder, status: Int?, seen: RankObservation?, sentAt: Timestamp) {
         val now = runtime.clock.now()
         val done = status in RankEndpoints.ACCEPTED_STATUSES
         runtime.log.log(
@@ -232,7 +220,7 @@
             "status" to status,
             "agentSilent" to orderUnanswered,
             "millis" to (now - sentAt).inWholeMilliseconds,
-            "report" to if (done) null else report,
+            "report" to if (done) null else seen,
         )
         if (done) {
             accepted = order
@@ -263,15 +251,13 @@
         const val STATUS_NOT_FOUND = 404
 
         /** Longer than any call of this client, or two of them. */
-        val MAX_CALL_TIME: Duration = 3.seconds
+        val MAX_CALL_TIME: Duration = 5.seconds
 
-        /** Covers the agent's own timeouts for the order and the report after it, and the round trip. */
-        val ORDER_TIMEOUT: Duration = 450.milliseconds
+        /** An agent has this much more time than those to which it relays an order. */
+        const val AGENT_TIMEOUT_FACTOR = 1.5
+        val HELD_EXPERTS_TIMEOUT: Duration = 1.seconds
         val DIRECT_TIMEOUT: Duration = 250.milliseconds
 
-        /** Covers the time in which a relay sends a map to the other agents of its batch and waits for results. */
-        val RELAYED_MAP_TIMEOUT: Duration = 1_100.milliseconds
-
         /** A rank takes some time to load experts and to report them. */
         val REPEAT_DELAY: Duration = 900.milliseconds
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankStatus.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankStatus.kt
@@ -4,6 +4,8 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.jujubelead.core.expertmap.GroupMap
+import org.jujubelead.core.expertmap.MapOrder
+import org.jujubelead.core.expertmap.RankObservation
 import org.jujubelead.core.expertmap.initialMap
 
 /**
@@ -34,20 +36,11 @@
  *
  * @property sets number of sets of layers.
  * @property interval milliseconds between two statuses.
- * @property changeInterval milliseconds between two statuses during a map change.
+ * @property changeInterval milliseconds between two statuses of an agent whose last order has had no effect yet.
  */
 @Serializable
 internal data class StatusReply(val sets: Int, val interval: Long, val changeInterval: Long)
 
-/**
- * A report of a rank and when it was read.
- *
- * @property readAtMicros when the report was requested, on the agent's monotonic clock.
- * @property report text of the replica's report.
- */
-@Serializable
-internal data class RankReading(val readAtMicros: Long, val report: String)
-
 /** Announces that the agent at [leader] has coordinated the group since [term]. */
 @Serializable
 internal data class LeaderAnnouncement(val leader: String, val term: Long)
@@ -56,16 +49,41 @@
  * An order of the coordinator of [term].
  *
  * @property body request body for the replica; null if the agent creates it from [prepare].
+ * @property expected what the rank's report shows once the order has taken effect.
  * @property relayTo addresses of the agents to which the receiver relays the order.
+ * @property relayMillis time within which these agents have to answer.
  */
 @Serializable
 internal data class RankOrder(
     val term: Long,
     val body: String?,
     val prepare: PrepareOrder? = null,
+    val expected: ExpectedState? = null,
     val relayTo: List<String> = emptyList(),
+    val relayMillis: Long = 0,
 )
 
+/** State in which an order leaves a rank. Only the property that the order changes is set. */
+@Serializable
+internal data class ExpectedState(val prepared: Long? = null, val armedFor: Long? = null, val heldAt: Long? = null) {
+    /** True if [o] shows the state, or that the rank is beyond it. */
+    fun shownBy(o: RankObservation): Boolean = when {
+        prepared != null -> o.prepared?.value == prepared || o.map.value >= prepared
+        armedFor != null -> o.armed?.step == armedFor || o.step >= armedFor
+        heldAt != null -> o.heldAt == heldAt || o.step >= heldAt
+        else -> true
+    }
+
+    companion object {
+        fun of(order: MapOrder): ExpectedState? = when (order) {
+            is MapOrder.Prepare -> ExpectedState(prepared = order.version.value)
+            is MapOrder.Arm -> ExpectedState(armedFor = order.step)
+            is MapOrder.Hold -> ExpectedState(heldAt = order.step)
+            is MapOrder.Release -> null
+        }
+    }
+}
+
 /**
  * An order to prepare map [version].
  *
@@ -104,19 +122,16 @@
  *
  * @property status status of the replica's response; null if there was none and the order may still take effect.
  * @property observed reading of the rank after the order.
- * @property relayed results of the agents to which the order was relayed.
+ * @property relayed results of the agents to which the order was relayed, in the order in which it names them; null for
+ * an agent that did not answer.
  */
 @Serializable
 internal data class OrderResult(
     val status: Int?,
     val observed: RankReading?,
-    val relayed: List<RelayedResult> = emptyList(),
+    val relayed: List<OrderResult?> = emptyList(),
 )
 
-/** Result of an order that was relayed to [agent]; null if the agent did not answer. */
-@Serializable
-internal data class RelayedResult(val agent: String, val result: OrderResult?)
-
 internal val rankJson: Json = Json { ignoreUnknownKeys = true }
 
 /** Paths of the calls between agents. */
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/GroupCoordinatorTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/GroupCoordinatorTest.kt
@@ -79,7 +79,7 @@
         private fun heldExperts() =
             """{"mapping":{"version":$heldVersion,"experts":[[$rank,${rank + RANKS}]]},"prepared":null}"""
 
-        fun reading() = RankReading(ProcessClock.now().micros, report())
+        fun reading() = readingOf(report(), ProcessClock.now().micros)
 
         fun status(choices: CompactCounts) = RankStatus(
             term = 1,
@@ -106,6 +106,7 @@
         ),
         since = Revision(1),
         ownRank = { 0 },
+        reportOwnRank = {},
         confirmLeadership = { it(false) },
         reporter = SlowRankReporter(
             "127.0.0.1",
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/MapChangeAtScaleTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/MapChangeAtScaleTest.kt
@@ -44,6 +44,7 @@
             layout = layout,
             since = Revision(1),
             ownRank = { 0 },
+            reportOwnRank = { agents[0].report() },
             confirmLeadership = { answer -> loop.after(CONFIRMATION_TIME) { answer(true) } },
             reporter = object : SlowRankReports {
                 override fun report(paces: Map<Endpoint, Double>) = Unit
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/RankClientTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/RankClientTest.kt
@@ -60,7 +60,7 @@
         term = 1,
         runtime = AgentRuntime(group.next(), EventLog()),
     ).apply {
-        onReading(RankReading(readAtMicros = 1, report = report("null")))
+        onReading(readingOf(report("null"), readAtMicros = 1))
     }
 
     private fun send(order: MapOrder) {
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/RankLoopsTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/RankLoopsTest.kt
@@ -62,7 +62,7 @@
     private fun clientOf(result: String): RankClient {
         val agent = serve(mapOf(RankPaths.ORDER to { _, answer -> answer(TextResponse(200, result)) }))
         return RankClient(agent, replica, term = 1, AgentRuntime(loop, EventLog()), decoders).apply {
-            onReading(RankReading(readAtMicros = 1, report = report))
+            onReading(readingOf(report, readAtMicros = 1))
         }
     }
 
@@ -93,15 +93,15 @@
     }
 
     @Test
-    fun `a reading that cannot be handled does not leave the order in flight`() {
-        val client = clientOf(
-            rankJson.encodeToString(OrderResult.serializer(), OrderResult(503, RankReading(2, report))),
-        )
-        failing.set(true)
-        expectThat(send(client)).isTrue()
-        Thread.sleep(100)
-        failing.set(false)
-        expectThat(send(client)).isTrue()
+    fun `a reading that cannot be decoded does not leave the order in flight`() {
+        val whole = rankJson.encodeToString(OrderResult.serializer(), OrderResult(503, readingOf(report, 2)))
+        val text = whole.substringAfter("\"observed\":\"").substringBefore('"')
+        for (malformed in listOf("", "%", text.take(8), "/".repeat(text.length))) {
+            val client = clientOf(whole.replace(text, malformed))
+            expectThat(send(client)).isTrue()
+            Thread.sleep(100)
+            expectThat(send(client)).isTrue()
+        }
     }
 
     /** Guards against an order to prepare a map whose coordinator gets no answer. */
@@ -110,7 +110,7 @@
         failing.set(true)
         val result = CompletableFuture<OrderResult>()
         val rank = LocalRank(HttpClient(replica, loop, 1.seconds), AgentRuntime(loop, EventLog()), decoders)
-        loop.execute { rank.send("{}", prepares = 7, onAnswer = {}) { result.complete(it) } }
+        loop.execute { rank.send("{}", ExpectedState(prepared = 7), onAnswer = {}) { result.complete(it) } }
         expectThat(result.get(5, TimeUnit.SECONDS).status).isEqualTo(200)
     }
 }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/virtual/VirtualRankGroup.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/virtual/VirtualRankGroup.kt
@@ -119,9 +119,12 @@
     }
 
     /** Body of the counts of a rank. All ranks process similar requests. */
-    fun counts(): String = countsText ?: counts.joinToString(",", """{"step":$step,"epoch":1,"counts":[""", "]}") { set ->
-        set.joinToString(",", "[", "]") { it.toLong().toString() }
-    }.also { countsText = it }
+    fun counts(): String = countsText ?: encodeCounts().also { countsText = it }
+
+    private fun encodeCounts(): String {
+        val sets = counts.joinToString(",") { set -> set.joinToString(",", "[", "]") { it.toLong().toString() } }
+        return """{"step":$step,"epoch":1,"counts":[$sets]}"""
+    }
 
     /** Body with the experts that [rank] holds. */
     fun heldExperts(rank: Int): String =
