Allow a switch the fraction of the time to prepare that it took before

Cause: the margin took the slowest order that prepared a map for the time to arm all ranks.

Change: the margin allows for the same fraction of that time as in recent switches.

--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/SwitchDuration.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/SwitchDuration.kt
@@ -5,8 +5,8 @@
  * The group is held at the pass of the switch until all ranks are armed for it. If that pass comes too early, the whole
  * group stands still, and every open stream has a gap; if it comes too late, a few passes more use the previous map.
  * The first is much worse, so the margin covers the slowest recent switch and not the mean one. The orders to prepare
- * the map take the same way as those to arm it, so the margin also follows a delay that has just arisen. Not
- * thread-safe; used on the control thread only.
+ * the map take the same way as those to arm it, so the margin also follows a delay that has just arisen: it allows for
+ * the same fraction of their time as before. Not thread-safe; used on the control thread only.
  */
 package org.jujubelead.core.expertmap
 
@@ -17,6 +17,9 @@
 
 public class SwitchDuration {
     private var estimate = INITIAL_ESTIMATE
+
+    /** Time to arm all ranks relative to the slowest order that prepared the map, in recent switches. */
+    private var fraction = 1.0
     private var slowestOrder = Duration.ZERO
     private var heldSince: Timestamp? = null
 
@@ -39,13 +42,17 @@
         val took = now - (heldSince ?: return null)
         heldSince = null
         estimate = maxOf(took, estimate * (1 - WEIGHT) + took * WEIGHT)
+        if (slowestOrder > Duration.ZERO) {
+            val latest = took / slowestOrder
+            fraction = maxOf(latest, fraction * (1 - WEIGHT) + latest * WEIGHT)
+        }
         return took
     }
 
     /** Number of passes of [passTime] between the current pass and the one of the switch. */
     public fun marginSteps(passTime: Duration): Long {
         if (passTime <= Duration.ZERO) return MapChange.DEFAULT_MARGIN_STEPS
-        val needed = maxOf(estimate, slowestOrder) * HEADROOM
+        val needed = maxOf(estimate, slowestOrder * fraction) * HEADROOM
         return (ceil(needed / passTime).toLong() + 1).coerceIn(MapChange.DEFAULT_MARGIN_STEPS, MAX_MARGIN)
     }
 
