Search for placements without sorting all ranks and experts

Each step of the search sorted all ranks and experts, and took a root for each candidate.

Change: the few largest and smallest are selected in one pass, and candidates are compared with a limit of the power that is computed when a better one is found. The changes that are found are the same, up to rounding.

--- a/core/src/main/kotlin/org/jujubelead/core/placement/PlacementSearch.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/placement/PlacementSearch.kt
@@ -29,6 +29,38 @@
         val moves get() = if (otherRank == EMPTY) 1 else 2
     }
 
+    /** The best change found so far. A further one has to bring the power below a limit that depends on its moves. */
+    private inner class Best(private val left: Int, minGain: Double) {
+        private val before = norm(power)
+        var change: Change? = null
+            private set
+        private var maxPowerOfLoad = 0.0
+        private var maxPowerOfSwap = 0.0
+
+        init {
+            setGain(minGain)
+        }
+
+        private fun setGain(gain: Double) {
+            maxPowerOfLoad = normPower(before - gain)
+            maxPowerOfSwap = normPower(before - 2 * gain)
+        }
+
+        fun considerLoad(rank: Int, slot: Int, expert: Int, after: Double) {
+            if (left < 1 || after >= maxPowerOfLoad || newExpertsAfter(rank, slot, expert) > maxLoadsPerRank) return
+            change = Change(rank, slot, expert, EMPTY, EMPTY)
+            setGain(before - norm(after))
+        }
+
+        fun considerSwap(rank: Int, slot: Int, expert: Int, otherRank: Int, otherSlot: Int, after: Double) {
+            if (left < 2 || after >= maxPowerOfSwap) return
+            if (newExpertsAfter(rank, slot, expert) > maxLoadsPerRank) return
+            if (newExpertsAfter(otherRank, otherSlot, slots[rank][slot]) > maxLoadsPerRank) return
+            change = Change(rank, slot, expert, otherRank, otherSlot)
+            setGain((before - norm(after)) / 2)
+        }
+    }
+
     private val ranks = capacities.size
     private val original = start.ranks.map { it.toHashSet() }
     private val slots = Array(ranks) { r -> IntArray(slotsPerRank) { start.ranks[r].getOrElse(it) { EMPTY } } }
@@ -38,8 +70,8 @@
     private val trial = DoubleArray(ranks)
     private val touched = IntArray(2 * ranks + 2)
     private var touchedCount = 0
-    private var targets: List<Int> = emptyList()
-    private var heaviest: List<Int> = emptyList()
+    private var targets = IntArray(0)
+    private var heaviest = IntArray(0)
     private val scale: Double
     private var power = 0.0
 
@@ -62,6 +94,9 @@
 
     private fun norm(power: Double) = Math.pow(power, 1 / NORM)
 
+    /** Inverse of [norm]; 0 for a norm that cannot be reached. */
+    private fun normPower(norm: Double) = if (norm <= 0) 0.0 else power(norm * scale)
+
     /** Applies changes that gain at least [minGain] per move, up to [budget] moves; returns the number of moves. */
     fun improve(budget: Int, minGain: Double): Int {
         var left = budget
@@ -74,42 +109,22 @@
     }
 
     private fun best(left: Int, minGain: Double): Change? {
-        val byTime = times.indices.sortedByDescending { times[it] }
-        val slow = byTime.take(SLOW_RANKS)
-        targets = if (candidates < ranks) byTime.takeLast(candidates) else times.indices.toList()
-        heaviest = if (candidates < loads.size) heaviestExperts() else loads.indices.toList()
-        val before = norm(power)
-        var best: Change? = null
-        var bestGain = minGain
-        fun consider(change: Change, after: Double) {
-            if (change.moves > left || !withinLoadLimit(change)) return
-            val gain = (before - norm(after)) / change.moves
-            if (gain > bestGain) {
-                bestGain = gain
-                best = change
-            }
-        }
+        val slow = largest(times, SLOW_RANKS)
+        targets = if (candidates < ranks) smallest(times, candidates) else IntArray(ranks) { it }
+        heaviest = if (candidates < loads.size) heaviestExperts() else IntArray(loads.size) { it }
+        val best = Best(left, minGain)
         for (r in slow) {
             for (s in 0 until slotsPerRank) {
                 val e = slots[r][s]
                 if (e == EMPTY) continue
-                if (holders[e].size > 1) considerReplacements(r, s, ::consider)
-                considerMoves(r, s, e, left, ::consider)
+                if (holders[e].size > 1) considerReplacements(r, s, best)
+                considerMoves(r, s, e, best)
             }
         }
-        return best
+        return best.change
     }
 
-    private fun heaviestExperts(): List<Int> = loads.indices.sortedByDescending { share(it) }.take(candidates)
-
-    /** True when [change] keeps the number of newly loaded experts of each rank within [maxLoadsPerRank]. */
-    private fun withinLoadLimit(change: Change): Boolean {
-        if (maxLoadsPerRank == Int.MAX_VALUE) return true
-        if (newExpertsAfter(change.rank, change.slot, change.expert) > maxLoadsPerRank) return false
-        if (change.otherRank == EMPTY) return true
-        val moved = slots[change.rank][change.slot]
-        return newExpertsAfter(change.otherRank, change.otherSlot, moved) <= maxLoadsPerRank
-    }
+    private fun heaviestExperts(): IntArray = largest(DoubleArray(loads.size) { share(it) }, candidates)
 
     private fun newExpertsAfter(rank: Int, slot: Int, expert: Int): Int {
         var count = 0
@@ -120,20 +135,20 @@
         return count
     }
 
-    private inline fun considerReplacements(r: Int, s: Int, consider: (Change, Double) -> Unit) {
+    private fun considerReplacements(r: Int, s: Int, best: Best) {
         for (other in heaviest) {
-            if (r !in holders[other]) consider(Change(r, s, other, EMPTY, EMPTY), powerAfterLoad(r, s, other))
+            if (r !in holders[other]) best.considerLoad(r, s, other, powerAfterLoad(r, s, other))
         }
     }
 
-    private inline fun considerMoves(r: Int, s: Int, e: Int, left: Int, consider: (Change, Double) -> Unit) {
+    private fun considerMoves(r: Int, s: Int, e: Int, best: Best) {
         for (t in targets) {
             if (times[t] >= times[r] || t in holders[e]) continue
             for (u in 0 until slotsPerRank) {
                 val v = slots[t][u]
-                if (v == EMPTY || holders[v].size > 1) consider(Change(t, u, e, EMPTY, EMPTY), powerAfterLoad(t, u, e))
-                if (left > 1 && v != EMPTY && r !in holders[v]) {
-                    consider(Change(t, u, e, r, s), powerAfterSwap(r, t, share(e) - share(v)))
+                if (v == EMPTY || holders[v].size > 1) best.considerLoad(t, u, e, powerAfterLoad(t, u, e))
+                if (v != EMPTY && r !in holders[v]) {
+                    best.considerSwap(t, u, e, r, s, powerAfterSwap(r, t, share(e) - share(v)))
                 }
             }
         }
@@ -198,6 +213,26 @@
     }
 }
 
+/** Indices of the [count] largest of [values], in descending order; equal ones in ascending order of their index. */
+internal fun largest(values: DoubleArray, count: Int): IntArray {
+    val found = IntArray(minOf(count, values.size))
+    var size = 0
+    for (i in values.indices) {
+        if (size == found.size && (size == 0 || values[i] <= values[found[size - 1]])) continue
+        var at = if (size < found.size) size++ else size - 1
+        while (at > 0 && values[found[at - 1]] < values[i]) found[at] = found[--at]
+        found[at] = i
+    }
+    return found
+}
+
+/** Indices of the [count] smallest of [values], in descending order; of equal ones, those with the highest index. */
+internal fun smallest(values: DoubleArray, count: Int): IntArray {
+    val last = values.size - 1
+    val reversed = largest(DoubleArray(values.size) { -values[last - it] }, count)
+    return IntArray(reversed.size) { last - reversed[reversed.size - 1 - it] }
+}
+
 /**
  * Improves [start] by a greedy local search.
  *
