--- a/core/src/test/kotlin/org/jujubelead/core/expertmap/MapChangeTest.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/expertmap/MapChangeTest.kt
@@ -115,6 +115,26 @@
         expectThat(second.current).isNull()
     }
 
+    /** Guards against a coordinator that waits for a status of each rank before it can answer the next shift. */
+    @Test
+    fun `one rank that has begun the pass of the switch ends the change`() {
+        val model = RankGroupModel(size, Random(1))
+        val change = MapChange(MapVersion(100))
+        var now = Timestamp.ZERO
+        change.propose(map, now)
+        while (model.maps != setOf(MapVersion(101))) {
+            now += 50.milliseconds
+            change.nextOrders(view(model, now), now).forEach { (rank, order) -> model.order(rank, order, 1, now, 0.0) }
+            change.leadershipConfirmed(view(model, now))
+            val before = view(model, now)
+            model.pass()
+            if (model.maps != setOf(MapVersion(101))) continue
+            change.nextOrders(before + (3 to model.observe(3, now)), now)
+        }
+        expectThat(change.idle).isTrue()
+        expectThat(change.current).isEqualTo(map)
+    }
+
     /** Guards against using state of an earlier epoch of the group. */
     @Test
     fun `a re-formed group ends the change`() {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/ChoiceSampler.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/ChoiceSampler.kt
@@ -15,7 +15,8 @@
 
     /**
      * Returns how often the rank's tokens chose the experts of some sets since the sample began, according to its
-     * cumulative [counts], and begins the next one. Ranks start with different sets and rotate, so that all sets are sampled at any time.
+     * cumulative [counts], and begins the next one. Ranks start with different sets and rotate, so that all sets are
+     * sampled at any time.
      */
     fun sample(counts: List<Int>, sets: Int, rank: Int): Sample {
         val choices = choicesSinceBase(counts)
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/CompactEncodingTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/CompactEncodingTest.kt
@@ -1,8 +1,12 @@
 package org.jujubelead.gateway.rank
 
+import org.jujubelead.core.expertmap.ArmedMap
+import org.jujubelead.core.expertmap.MapVersion
+import org.jujubelead.core.expertmap.RankObservation
 import org.jujubelead.core.expertmap.initialMap
 import org.jujubelead.core.placement.ExpertPlacement
 import org.jujubelead.core.route.ExpertLayout
+import org.jujubelead.core.time.Timestamp
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -47,6 +51,38 @@
         expectThat(cache.resolve(PrepareOrder(version = 9, epoch = 2, base = 7, changes = changes))).isNull()
     }
 
+    /** Guards against a coordinator that acts on another state than the rank has. */
+    @Test
+    fun `a reading is decoded as it was encoded`() {
+        val idle = RankObservation(
+            rank = 128, size = 129, epoch = 3, open = true, step = -1, map = MapVersion(0), prepared = null,
+            armed = null, heldAt = null, slowdown = 2.25, running = 4, observedAt = Timestamp.ZERO,
+        )
+        val switching = idle.copy(
+            open = false, step = 40_000_000_000, map = MapVersion(2_300_010_000),
+            prepared = MapVersion(2_300_010_001), armed = ArmedMap(MapVersion(2_300_010_001), 40_000_000_007),
+            heldAt = 40_000_000_007, slowdown = 1.0,
+        )
+        for (o in listOf(idle, switching)) {
+            val text = rankJson.encodeToString(RankReading.serializer(), RankReading(-5, o))
+            val read = rankJson.decodeFromString(RankReading.serializer(), text)
+            expectThat(read.observation).isEqualTo(o)
+            expectThat(read.readAtMicros).isEqualTo(-5)
+        }
+    }
+
+    /** Guards against results of 129 ranks that queue for a fifth of a second on the coordinator's link. */
+    @Test
+    fun `a result of an order fits into a hundred bytes`() {
+        val seen = RankObservation(
+            rank = 128, size = 129, epoch = 3, open = true, step = 10_000, map = MapVersion(2_300_010_000),
+            prepared = MapVersion(2_300_010_001), armed = ArmedMap(MapVersion(2_300_010_001), 10_004),
+            heldAt = null, slowdown = 1.0, running = 4, observedAt = Timestamp.ZERO,
+        )
+        val result = OrderResult(202, RankReading(readAtMicros = 86_400_000_000, seen))
+        expectThat(rankJson.encodeToString(OrderResult.serializer(), result).length).isLessThan(100)
+    }
+
     /** Guards against a plan based on shares that no rank counted. */
     @Test
     fun `encoded counts keep their shares`() {
