Leave a switch that waited for a lost agent out of the margin

Change: a switch does not count if an order of its change got no answer. The test failed before: 24 passes where 3 were usual.

The layout of CompactEncodingTest is corrected as well.

--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/SwitchDuration.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/SwitchDuration.kt
@@ -23,12 +23,16 @@
     private var slowestOrder = Duration.ZERO
     private var heldSince: Timestamp? = null
 
+    /** True if an order of the current change got no answer. */
+    private var disturbed = false
+
     /** Records that a change has entered [phase]. */
     public fun phaseChanged(phase: ChangePhase, now: Timestamp) {
         if (phase is ChangePhase.Holding) heldSince = now
         if (phase is ChangePhase.Idle || phase is ChangePhase.Preparing) {
             heldSince = null
             slowestOrder = Duration.ZERO
+            disturbed = false
         }
     }
 
@@ -37,10 +41,19 @@
         slowestOrder = maxOf(slowestOrder, took)
     }
 
+    /**
+     * Records that an order of the current change got no answer: how long its switch takes depends on the lost agent and
+     * says nothing about the next one.
+     */
+    public fun orderUnanswered() {
+        disturbed = true
+    }
+
     /** Records that all ranks are armed. Returns how long that took; null if it was recorded before. */
     public fun allArmed(now: Timestamp): Duration? {
         val took = now - (heldSince ?: return null)
         heldSince = null
+        if (disturbed) return took
         estimate = maxOf(took, estimate * (1 - WEIGHT) + took * WEIGHT)
         if (slowestOrder > Duration.ZERO) {
             val latest = took / slowestOrder
--- a/core/src/test/kotlin/org/jujubelead/core/expertmap/SwitchDurationTest.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/expertmap/SwitchDurationTest.kt
@@ -48,6 +48,19 @@
         expectThat(duration.marginSteps(50.milliseconds)).isLessThanOrEqualTo(4)
     }
 
+    /** Guards against maps that wait for 24 passes because an instance was suspended during an earlier change. */
+    @Test
+    fun `a switch that waited for a lost agent does not count`() {
+        repeat(20) { change(prepare = 100.milliseconds, arm = 20.milliseconds) }
+        val usual = duration.marginSteps(40.milliseconds)
+        duration.orderUnanswered()
+        duration.phaseChanged(ChangePhase.Holding(version, emptyList(), step = 1), now)
+        now += 4_200.milliseconds
+        duration.allArmed(now)
+        change(prepare = 100.milliseconds, arm = 20.milliseconds)
+        expectThat(duration.marginSteps(40.milliseconds)).isEqualTo(usual)
+    }
+
     @Test
     fun `a switch is recorded once`() {
         change(prepare = 100.milliseconds, arm = 100.milliseconds)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/OrderDispatch.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/OrderDispatch.kt
@@ -31,6 +31,12 @@
         switchDuration.orderAnswered(took)
     }
 
+    /** Records that [order] got no answer. */
+    fun unanswered(order: MapOrder) {
+        timeoutOf(order).expired()
+        switchDuration.orderUnanswered()
+    }
+
     /** Returns the message for [order]; with the [complete] map if the agent does not know the base. */
     fun prepareOrder(order: MapOrder.Prepare, epoch: Long, complete: Boolean): PrepareOrder {
         val version = order.version.value
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankClient.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankClient.kt
@@ -179,7 +179,7 @@
         }
         // A relay that waited for another agent says nothing about how long answers take.
         when {
-            result.get() == null -> dispatch.timeoutOf(order).expired()
+            result.get() == null -> dispatch.unanswered(order)
             null !in relayed -> dispatch.answered(order, runtime.clock.now() - sentAt)
         }
     }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/CompactEncodingTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/CompactEncodingTest.kt
@@ -59,9 +59,13 @@
             armed = null, heldAt = null, slowdown = 2.25, running = 4, observedAt = Timestamp.ZERO,
         )
         val switching = idle.copy(
-            open = false, step = 40_000_000_000, map = MapVersion(2_300_010_000),
-            prepared = MapVersion(2_300_010_001), armed = ArmedMap(MapVersion(2_300_010_001), 40_000_000_007),
-            heldAt = 40_000_000_007, slowdown = 1.0,
+            open = false,
+            step = 40_000_000_000,
+            map = MapVersion(2_300_010_000),
+            prepared = MapVersion(2_300_010_001),
+            armed = ArmedMap(MapVersion(2_300_010_001), 40_000_000_007),
+            heldAt = 40_000_000_007,
+            slowdown = 1.0,
         )
         for (o in listOf(idle, switching)) {
             val text = rankJson.encodeToString(RankReading.serializer(), RankReading(-5, o))
