--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/SwitchDuration.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/SwitchDuration.kt
@@ -42,8 +42,8 @@
     }
 
     /**
-     * Records that an order of the current change got no answer: how long its switch takes depends on the lost agent and
-     * says nothing about the next one.
+     * Records that an order of the current change got no answer. How long its switch takes depends on the lost agent
+     * then, and says nothing about the next one.
      */
     public fun orderUnanswered() {
         disturbed = true
