Log the era of the store, and configurations that were read and not applied

The logs could not tell whether the store returns with an older configuration or with the same one at another revision. No decision changes.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
@@ -27,6 +27,7 @@
 import org.jujubelead.gateway.schedule.scheduleRepeating
 import org.jujubelead.gateway.settings.ProcessDescription
 import org.jujubelead.gateway.store.ReplicaRelay
+import org.jujubelead.gateway.store.StoreClient
 import org.jujubelead.gateway.store.StorePoller
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.GatewayMetrics
@@ -52,7 +53,7 @@
         val startedAt = ProcessClock.now()
         val callers = requireNotNull(description.callers) { "field callers is required for a gateway" }
         val readiness = requireNotNull(description.readiness) { "field readiness is required for a gateway" }
-        val store = HttpClient(description.store, control.next(), timeout = STORE_TIMEOUT)
+        val store = StoreClient(HttpClient(description.store, control.next(), timeout = STORE_TIMEOUT), log)
         val interval = description.bounds.pollInterval
         val relay =
             ReplicaRelay(control.next(), description.zone, own, log, maxAge = interval * MAX_LIST_AGE_INTERVALS)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpClient.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpClient.kt
@@ -14,7 +14,9 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
@@ -25,7 +27,11 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A complete response with a text body. */
-public class TextResponse(public val status: Int, public val body: String)
+public class TextResponse(
+    public val status: Int,
+    public val body: String,
+    public val headers: HttpHeaders = EmptyHttpHeaders.INSTANCE,
+)
 
 /** Failure of a call without a complete response. The call may have taken effect, or may still do so. */
 public data class CallFailure(val detail: String)
@@ -102,6 +108,7 @@
         var connection: HttpConnection? = null
         var onEnd: () -> Unit = {}
         private var status = 0
+        private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
         private val body = Unpooled.buffer()
 
         fun end(result: Result<TextResponse, CallFailure>) {
@@ -122,6 +129,7 @@
 
         override fun onHead(response: HttpResponse) {
             status = response.status().code()
+            headers = response.headers()
         }
 
         override fun onContent(bytes: ByteBuf) {
@@ -132,7 +140,7 @@
             body.writeBytes(bytes)
         }
 
-        override fun onComplete() = end(Ok(TextResponse(status, body.toString(Charsets.UTF_8))))
+        override fun onComplete() = end(Ok(TextResponse(status, body.toString(Charsets.UTF_8), headers)))
 
         override fun onTransportFailure(reason: TransportFailure) = end(Err(CallFailure("connection closed: $reason")))
     }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/GatewayListPoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/GatewayListPoller.kt
@@ -8,9 +8,9 @@
 import io.netty.channel.EventLoop
 import org.jujubelead.core.ids.ZoneId
 import org.jujubelead.core.replica.Endpoint
-import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.schedule.RepeatingTask
+import org.jujubelead.gateway.store.StoreClient
 import org.jujubelead.platform.wire.StoreRequests
 import org.jujubelead.platform.wire.WireDecoders
 import kotlin.time.Duration
@@ -21,7 +21,7 @@
 
 /** @param onChange receives all gateways. */
 public class GatewayListPoller(
-    private val store: HttpClient,
+    private val store: StoreClient,
     loop: EventLoop,
     private val decoders: WireDecoders = WireDecoders,
     private val onChange: (List<Peer>) -> Unit,
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/PeerDirectory.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/PeerDirectory.kt
@@ -9,9 +9,9 @@
 import org.jujubelead.core.ids.InstanceId
 import org.jujubelead.core.ids.ZoneId
 import org.jujubelead.core.replica.Endpoint
-import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.schedule.RepeatingTask
+import org.jujubelead.gateway.store.StoreClient
 import org.jujubelead.platform.wire.LeaseId
 import org.jujubelead.platform.wire.StoreRequests
 import org.jujubelead.platform.wire.WireDecoders
@@ -21,7 +21,7 @@
 
 /** @param onChange receives the other gateways. */
 public class PeerDirectory(
-    private val store: HttpClient,
+    private val store: StoreClient,
     loop: EventLoop,
     private val instance: InstanceId,
     private val own: Peer,
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
@@ -16,11 +16,11 @@
 import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.quarantine.PartKey
 import org.jujubelead.core.quarantine.PartRecord
-import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.schedule.scheduleOnce
+import org.jujubelead.gateway.store.StoreClient
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.StoreRequests
@@ -35,7 +35,7 @@
  * @param onTrial called when a trial of a part was recorded for this gateway.
  */
 internal class EvidenceStore(
-    private val store: HttpClient,
+    private val store: StoreClient,
     private val loop: EventLoop,
     private val log: EventLog,
     private val decoders: WireDecoders = WireDecoders,
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -25,6 +25,7 @@
 import org.jujubelead.gateway.settings.ProcessDescription
 import org.jujubelead.gateway.store.LeaderElection
 import org.jujubelead.gateway.store.Leadership
+import org.jujubelead.gateway.store.StoreClient
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.StoreRequests
@@ -42,7 +43,7 @@
     private val replicaAddress = requireNotNull(description.replica) { "field replica is required for a rank agent" }
     private val service = requireNotNull(description.service) { "field service is required for a rank agent" }
     private val replica = HttpClient(replicaAddress, loop, REPLICA_TIMEOUT)
-    private val store = HttpClient(description.store, loop, STORE_TIMEOUT)
+    private val store = StoreClient(HttpClient(description.store, loop, STORE_TIMEOUT), log)
     private val runtime = AgentRuntime(loop, log)
     private val agent = RankAgent(own, replica, runtime)
     private val election = LeaderElection(
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/SlowRankReporter.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/SlowRankReporter.kt
@@ -14,10 +14,10 @@
 import io.netty.channel.socket.nio.NioDatagramChannel
 import org.jujubelead.core.ids.ServiceId
 import org.jujubelead.core.replica.Endpoint
-import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.peers.GatewayListPoller
 import org.jujubelead.gateway.peers.Peer
 import org.jujubelead.gateway.peers.SlowRankReport
+import org.jujubelead.gateway.store.StoreClient
 import java.net.InetSocketAddress
 
 /** Receives the slow ranks of a group. */
@@ -33,7 +33,7 @@
     host: String,
     private val service: ServiceId,
     private val term: Long,
-    store: HttpClient,
+    store: StoreClient,
     loop: EventLoop,
 ) : SlowRankReports {
     private val channel: Channel = Bootstrap().group(loop).channel(NioDatagramChannel::class.java)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
@@ -16,7 +16,6 @@
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
-import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.schedule.RepeatingTask
@@ -53,7 +52,7 @@
  * @param leaderAnswers true while the leader responds to this process.
  */
 public class LeaderElection(
-    private val store: HttpClient,
+    private val store: StoreClient,
     loop: EventLoop,
     private val log: EventLog,
     private val key: String,
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
@@ -16,7 +16,6 @@
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.CallFailure
-import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.schedule.RepeatingTask
@@ -33,7 +32,7 @@
  * @param onLost called when the store cannot be read.
  */
 public class ReplicaPoller(
-    private val store: HttpClient,
+    private val store: StoreClient,
     loop: EventLoop,
     private val log: EventLog,
     private val pollInterval: Duration,
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
@@ -8,11 +8,12 @@
 package org.jujubelead.gateway.store
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import io.netty.channel.EventLoop
 import org.jujubelead.core.ids.Revision
+import org.jujubelead.core.route.Configuration
 import org.jujubelead.core.time.ClockReading
-import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.quarantine.EvidenceStore
@@ -27,7 +28,7 @@
 
 /** @param onChange receives each new state. */
 internal class StorePoller(
-    private val store: HttpClient,
+    private val store: StoreClient,
     loop: EventLoop,
     private val log: EventLog,
     private val pollInterval: Duration,
@@ -38,6 +39,9 @@
 ) {
     private var state = ControlState()
     private var storeLost = false
+
+    /** Revision of the last configuration that was logged as not applied. */
+    private var notApplied: Revision? = null
     private val replicas = ReplicaPoller(
         store = store,
         loop = loop,
@@ -99,12 +103,13 @@
         onStoreRegained()
         val known = state.configuration
         if (known != null && stored.revision == known.revision) return onConfirmed(sentAt)
-        if (known != null && stored.revision < known.revision) return
+        if (known != null && stored.revision < known.revision) return onNotApplied(stored, known)
         val read = decoders.configuration(stored.text, stored.revision).getOrElse { return unreadable(it.detail) }
         log.log(
             LogEvent.CONFIGURATION_APPLIED,
             "version" to read.version,
             "revision" to read.revision.value,
+            "era" to store.era?.value,
             "previous" to known?.revision?.value,
             "routes" to read.routes.size,
             "readMillis" to (ProcessClock.now() - sentAt.monotonic).inWholeMilliseconds,
@@ -113,6 +118,20 @@
         onChange(state)
     }
 
+    private fun onNotApplied(stored: StoredValue, known: Configuration) {
+        if (stored.revision == notApplied) return
+        notApplied = stored.revision
+        val version = decoders.configuration(stored.text, stored.revision).get()?.version
+        log.log(
+            LogEvent.CONFIGURATION_NOT_APPLIED,
+            "version" to version,
+            "revision" to stored.revision.value,
+            "era" to store.era?.value,
+            "inUse" to known.version,
+            "inUseRevision" to known.revision.value,
+        )
+    }
+
     private fun onConfirmed(sentAt: ClockReading) {
         onStoreRegained()
         state = state.copy(confirmedAt = sentAt, replicasReadAt = replicas.readAt)
@@ -127,7 +146,7 @@
     }
 
     private fun onStoreRegained() {
-        if (storeLost) log.log(LogEvent.STORE_REGAINED)
+        if (storeLost) log.log(LogEvent.STORE_REGAINED, "era" to store.era?.value)
         storeLost = false
     }
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
@@ -27,6 +27,8 @@
     REPLICA_LIMIT("JJ-6114"),
     REPLICA_LEAVING("JJ-6115"),
     REPLICA_LIST_OVERDUE("JJ-6116"),
+    STORE_ERA_CHANGED("JJ-6117"),
+    CONFIGURATION_NOT_APPLIED("JJ-6118"),
     REQUEST_ANSWERED("JJ-6201", essential = false),
     REQUEST_REFUSED("JJ-6202"),
     REQUEST_FAILED("JJ-6203"),
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/quarantine/EvidenceStoreTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/quarantine/EvidenceStoreTest.kt
@@ -14,6 +14,7 @@
 import org.jujubelead.core.replica.ReplicaId
 import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.store.ReplicaRelay
+import org.jujubelead.gateway.store.StoreClient
 import org.jujubelead.gateway.store.StorePoller
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.platform.standins.GroupShape
@@ -44,7 +45,8 @@
     private inner class Gateway(val name: String) {
         val received = LinkedBlockingQueue<Map<PartKey, PartRecord>>()
         private val known = HashSet<String>()
-        private val client = HttpClient(Endpoint("127.0.0.1", store.port), group.next(), 1.seconds)
+        private val client =
+            StoreClient(HttpClient(Endpoint("127.0.0.1", store.port), group.next(), 1.seconds), EventLog())
         val evidence = EvidenceStore(
             store = client,
             loop = group.next(),
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/GroupCoordinatorTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/GroupCoordinatorTest.kt
@@ -12,6 +12,7 @@
 import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.net.listen
 import org.jujubelead.gateway.net.servicePipeline
+import org.jujubelead.gateway.store.StoreClient
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.platform.wire.DecodeError
 import org.jujubelead.platform.wire.HeldExperts
@@ -112,7 +113,7 @@
             "127.0.0.1",
             ServiceId("s"),
             1,
-            HttpClient(Endpoint("127.0.0.1", 1), loop, 1.seconds),
+            StoreClient(HttpClient(Endpoint("127.0.0.1", 1), loop, 1.seconds), EventLog()),
             loop,
         ),
         planInterval = 100.milliseconds,
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/store/ControlLoopsTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/store/ControlLoopsTest.kt
@@ -40,7 +40,7 @@
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
     private val store = SimulatedStore()
-    private val client = HttpClient(Endpoint("127.0.0.1", store.port), loop, 1.seconds)
+    private val client = StoreClient(HttpClient(Endpoint("127.0.0.1", store.port), loop, 1.seconds), EventLog())
     private val writer = StoreWriter(store, "h.example")
     private val failures = ConcurrentHashMap<String, Int>()
 
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/store/LeaderElectionTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/store/LeaderElectionTest.kt
@@ -36,7 +36,7 @@
         decoders: WireDecoders = WireDecoders,
         leaderAnswers: () -> Boolean = { false },
     ) = LeaderElection(
-        store = HttpClient(Endpoint("127.0.0.1", store.port), group.next(), 1.seconds),
+        store = StoreClient(HttpClient(Endpoint("127.0.0.1", store.port), group.next(), 1.seconds), EventLog()),
         loop = group.next(),
         log = EventLog(),
         key = "k",
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/store/ReplicaPollerTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/store/ReplicaPollerTest.kt
@@ -65,10 +65,13 @@
         val endpoint = Endpoint(host, (channel.localAddress() as InetSocketAddress).port)
 
         fun start() = ReplicaPoller(
-            store = HttpClient(
-                Endpoint("127.0.0.1", (store.localAddress() as InetSocketAddress).port),
-                group.next(),
-                500.milliseconds,
+            store = StoreClient(
+                HttpClient(
+                    Endpoint("127.0.0.1", (store.localAddress() as InetSocketAddress).port),
+                    group.next(),
+                    500.milliseconds,
+                ),
+                EventLog(),
             ),
             loop = group.next(),
             log = EventLog(),
