--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/ProcessClock.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/ProcessClock.kt
@@ -4,9 +4,12 @@
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
 
-/** Monotonic clock. */
-public fun interface Clock {
+/** Monotonic and wall clock. */
+public interface Clock {
+    /** Time on the monotonic clock. */
     public fun now(): Timestamp
+
+    public fun read(): ClockReading
 }
 
 public object ProcessClock : Clock {
@@ -14,5 +17,5 @@
 
     override fun now(): Timestamp = Timestamp(System.nanoTime() / NANOS_PER_MICRO)
 
-    public fun read(): ClockReading = ClockReading(now(), System.currentTimeMillis())
+    override fun read(): ClockReading = ClockReading(now(), System.currentTimeMillis())
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
@@ -16,7 +16,6 @@
 import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.quarantine.PartKey
 import org.jujubelead.core.quarantine.PartRecord
-import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.schedule.scheduleOnce
@@ -90,7 +89,7 @@
         (stored[requested.first]?.trials ?: 0) < requested.second.trials
 
     private fun writeIfNeeded(turn: RepeatingTask.Turn) {
-        val now = ProcessClock.read().wallMillis
+        val now = store.clock.read().wallMillis
         val current = (stored + local.mapValues { (key, record) -> stored[key]?.merge(record) ?: record })
             .filterValues { now < it.expiresMillis }
         val requested = trial
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
@@ -16,7 +16,6 @@
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
-import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.schedule.guarded
@@ -95,7 +94,7 @@
         if (since > latestTerm && leader != self) transitionTo(Leadership.Follower(leader, since))
     }
 
-    private fun timeToNextStep(): Duration = campaignAt?.let { it - ProcessClock.now() }
+    private fun timeToNextStep(): Duration = campaignAt?.let { it - store.clock.now() }
         ?: if (leadership is Leadership.Leader) RENEW_INTERVAL else READ_INTERVAL
 
     private fun step(turn: RepeatingTask.Turn) {
@@ -125,7 +124,7 @@
                 val answer = result.get()
                 if (answer?.status == STATUS_OK) return@step onLeaderFound(answer.body, turn)
                 if (answer?.status == STATUS_NOT_FOUND) {
-                    campaignAt = ProcessClock.now() + CANDIDATE_DELAY * candidateIndex()
+                    campaignAt = store.clock.now() + CANDIDATE_DELAY * candidateIndex()
                 }
                 turn.end()
             },
@@ -151,7 +150,7 @@
 
     /** Tries to become the leader, if there is none or by replacing the key of this process's previous run. */
     private fun campaign(replacing: Revision?, turn: RepeatingTask.Turn) {
-        val requestedAt = ProcessClock.read()
+        val requestedAt = store.clock.read()
         store.post(
             StoreRequests.LEASE_PATH,
             StoreRequests.grantLease(LEASE_TIME),
@@ -186,7 +185,7 @@
                         "key" to key,
                         "replacing" to replacing?.value,
                         "status" to written.get()?.status,
-                        "millis" to ProcessClock.read().since(requestedAt).inWholeMilliseconds,
+                        "millis" to store.clock.read().since(requestedAt).inWholeMilliseconds,
                     )
                 }
             },
@@ -196,7 +195,7 @@
     private fun renew(turn: RepeatingTask.Turn) {
         val held = lease
         val last = renewedAt
-        val now = ProcessClock.read()
+        val now = store.clock.read()
         if (held == null || last == null || now.since(last) > LEASE_TIME * TRUSTED_LEASE_FRACTION) {
             transitionTo(Leadership.Unknown)
             return turn.end()
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
@@ -16,7 +16,6 @@
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.CallFailure
-import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.telemetry.EventLog
@@ -62,7 +61,7 @@
             known == null -> INITIAL_POLL_INTERVAL
             else -> pollInterval
         }
-        return (polledAt + interval - ProcessClock.now()).coerceAtLeast(MIN_POLL_DELAY)
+        return (polledAt + interval - store.clock.now()).coerceAtLeast(MIN_POLL_DELAY)
     }
 
     private fun poll(turn: RepeatingTask.Turn) {
@@ -74,7 +73,7 @@
     }
 
     private fun onSharedList(pages: List<String>, sentAt: Timestamp, turn: RepeatingTask.Turn) {
-        polledAt = ProcessClock.now()
+        polledAt = store.clock.now()
         fromRelay = true
         val read = pages.mapNotNull(::decode)
         if (read.size == pages.size) applyPages(read, sentAt)
@@ -82,7 +81,7 @@
     }
 
     private fun readStore(turn: RepeatingTask.Turn) {
-        val sentAt = ProcessClock.read()
+        val sentAt = store.clock.read()
         polledAt = sentAt.monotonic
         fromRelay = false
         readPage(after = null, bodies = emptyList(), pages = emptyList(), sentAt, turn)
@@ -123,7 +122,7 @@
     }
 
     private fun onReadFailed(detail: String) {
-        directory.recordReadFailure(ProcessClock.now())
+        directory.recordReadFailure(store.clock.now())
         onLost(detail)
     }
 
@@ -141,7 +140,7 @@
             "added" to (after - before).joinToString(" "),
             "removed" to (before - after).joinToString(" "),
             "revision" to revision,
-            "ageMillis" to (ProcessClock.now() - sentAt).inWholeMilliseconds,
+            "ageMillis" to (store.clock.now() - sentAt).inWholeMilliseconds,
         )
         onChange(directory.replicas)
         known = directory.replicas
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/StoreClient.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/StoreClient.kt
@@ -5,6 +5,8 @@
 import com.github.michaelbull.result.onSuccess
 import org.jujubelead.core.store.StoreEra
 import org.jujubelead.gateway.net.CallFailure
+import org.jujubelead.gateway.net.Clock
+import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.RpcClient
 import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.telemetry.EventLog
@@ -13,7 +15,12 @@
 import org.jujubelead.platform.wire.decodeStoreEra
 import kotlin.time.Duration
 
-public class StoreClient(private val calls: RpcClient, private val log: EventLog) : RpcClient by calls {
+/** @property clock clock of all that is read from the store and written to it. */
+public class StoreClient(
+    private val calls: RpcClient,
+    private val log: EventLog,
+    public val clock: Clock = ProcessClock,
+) : RpcClient by calls {
     /** Era of the latest response; null before the first one. */
     public var era: StoreEra? = null
         private set
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
@@ -14,7 +14,6 @@
 import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.route.Configuration
 import org.jujubelead.core.time.ClockReading
-import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.quarantine.EvidenceStore
 import org.jujubelead.gateway.schedule.RepeatingTask
@@ -55,7 +54,7 @@
         },
         onLost = ::onStoreLost,
     )
-    private var polledAt = ProcessClock.now()
+    private var polledAt = store.clock.now()
     private val polls =
         RepeatingTask(loop, "configuration", waitTime = ::timeToNextPoll, work = ::pollConfiguration)
 
@@ -66,11 +65,11 @@
 
     private fun timeToNextPoll(): Duration {
         val interval = if (state.configuration == null) INITIAL_POLL_INTERVAL else pollInterval
-        return (polledAt + interval - ProcessClock.now()).coerceAtLeast(MIN_POLL_DELAY)
+        return (polledAt + interval - store.clock.now()).coerceAtLeast(MIN_POLL_DELAY)
     }
 
     private fun pollConfiguration(turn: RepeatingTask.Turn) {
-        val sentAt = ProcessClock.read()
+        val sentAt = store.clock.read()
         polledAt = sentAt.monotonic
         val known = state.configuration?.revision
         val revisions = mapOf(StoreRequests.CONFIGURATION_KEY to known, EvidenceStore.KEY to evidence.revision)
@@ -112,7 +111,7 @@
             "era" to store.era?.value,
             "previous" to known?.revision?.value,
             "routes" to read.routes.size,
-            "readMillis" to (ProcessClock.now() - sentAt.monotonic).inWholeMilliseconds,
+            "readMillis" to (store.clock.now() - sentAt.monotonic).inWholeMilliseconds,
         )
         state = state.copy(configuration = read, confirmedAt = sentAt)
         onChange(state)
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/virtual/VirtualEventLoop.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/virtual/VirtualEventLoop.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.util.concurrent.AbstractScheduledEventExecutor
 import io.netty.util.concurrent.Future
+import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.Clock
 import java.util.concurrent.TimeUnit
@@ -19,6 +20,8 @@
 
     override fun now(): Timestamp = Timestamp(nanos / NANOS_PER_MICRO)
 
+    override fun read(): ClockReading = ClockReading(now(), now().micros / MICROS_PER_MILLI)
+
     /** Runs all tasks that are due within [duration]. */
     fun run(duration: Duration) {
         val end = nanos + duration.inWholeNanoseconds
@@ -80,5 +83,6 @@
 
     private companion object {
         const val NANOS_PER_MICRO = 1_000
+        const val MICROS_PER_MILLI = 1_000
     }
 }
