Order the states of the store by era and number

Cause: the number of a revision was taken for an order over all time, and equal numbers for equal contents. After a return the numbers go back and are given out again. The same held for the list of replicas, for terms and the versions of maps that are made of them, for evidence, for leases, and for the conditions of writes on their way.

Change: StoreRevision has the era and the number, and is the only thing that readers and writers compare; a number is named in a precondition only in its own era. StoreClient tells the era of each answer and drops answers of earlier ones. ConfigurationOrder decides by the operator's version which configuration is the newest, and when a read proves it: an entry that was written in the era, or an era that has settled. Until then keys are trusted for 0.8 of the revocation bound, and a gateway that starts waits, unless the store has a record that its era has settled. In a new era replicas that are missing are kept and ones that are known to have left are not used, gateways and the coordinator register again, and evidence is written again.

--- a/core/src/main/kotlin/org/jujubelead/core/route/Configuration.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/route/Configuration.kt
@@ -1,7 +1,6 @@
-/** An accepted configuration of a deployment. Immutable; a newer configuration has a higher store revision. */
+/** An accepted configuration of a deployment. Immutable; a newer configuration has a higher version. */
 package org.jujubelead.core.route
 
-import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.ids.ServiceId
 import org.jujubelead.core.ids.WorkspaceId
 import kotlin.time.Duration
@@ -68,10 +67,8 @@
     val engine: EngineProfile?,
 )
 
-/** @property revision store revision at which the configuration was written. */
 public class Configuration(
     public val version: Long,
-    public val revision: Revision,
     public val routes: RouteTable,
     public val services: Map<ServiceId, ServiceProfile>,
     public val keys: Map<String, Workspace>?,
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/ClassArchiveRun.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/ClassArchiveRun.kt
@@ -9,9 +9,9 @@
 
 import com.github.michaelbull.result.get
 import org.jujubelead.core.expertmap.MapPlanner
-import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.route.ExpertLayout
+import org.jujubelead.core.store.StoreEra
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.rank.RankAgentProcess
 import org.jujubelead.gateway.settings.ProcessDescription
@@ -34,8 +34,8 @@
     thread(isDaemon = true) { GatewayProcess(gateway, log).run() }
     thread(isDaemon = true) { RankAgentProcess(loopbackDescription(), log).run() }
     Thread.sleep(RUN_MILLIS)
-    decodeReplicaPage(MinimalMessages.REPLICA_PAGE).get()
-    decodeConfiguration(MinimalMessages.CONFIGURATION, Revision(1)).get()
+    decodeReplicaPage(MinimalMessages.REPLICA_PAGE, StoreEra(1)).get()
+    decodeConfiguration(MinimalMessages.CONFIGURATION).get()
     val layout = ExpertLayout(sets = 1, experts = 2, slotsPerRank = 2, spareSlotsPerRank = 1, expertShare = 1.0)
     MapPlanner(layout).recordChoices(firstSet = 0, counts = listOf(1, 2), now = Timestamp.ZERO)
     val callers = checkNotNull(gateway.callers) { "the gateway has an address for callers" }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
@@ -125,9 +125,9 @@
 
     private fun readiness(): TextResponse {
         val state = dataPlane.state
-        val age = state.age(ProcessClock.read())
-        val serving =
-            state.configuration != null && state.replicas != null && age < dataPlane.bounds.trustedConfigurationAge
+        val now = ProcessClock.read()
+        val age = state.age(now)
+        val serving = state.configuration != null && state.replicas != null && state.isTrusted(now, dataPlane.bounds)
         val ready = serving && !dataPlane.draining
         if (ready != lastReady) {
             lastReady = ready
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Authorization.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Authorization.kt
@@ -34,7 +34,7 @@
     if (configuration == null || state.replicas == null) return Authorization.Undecided("not-initialized")
     val route = configuration.routes.find(request.host, request.path)
     val keys = configuration.keys
-    val fresh = state.age(now) < bounds.trustedConfigurationAge
+    val fresh = state.isTrusted(now, bounds)
     if (route == null) {
         if (!fresh) return Authorization.Undecided("stale-configuration")
         return Authorization.Denied(HttpResponseStatus.NOT_FOUND, "no-route")
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/GatewayListPoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/GatewayListPoller.kt
@@ -1,6 +1,7 @@
 /**
  * Polls the list of gateways registered in the store. It uses stale reads, which cost less: learning late that a
- * gateway came or went only makes load figures less accurate. Runs on one event loop.
+ * gateway came or went only makes load figures less accurate. In a new era of the store gateways register again, and
+ * those that were known are kept meanwhile. Runs on one event loop.
  */
 package org.jujubelead.gateway.peers
 
@@ -8,10 +9,12 @@
 import io.netty.channel.EventLoop
 import org.jujubelead.core.ids.ZoneId
 import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.core.store.StoreEra
 import org.jujubelead.core.time.Timestamp
-import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.schedule.RepeatingTask
+import org.jujubelead.gateway.store.StoreAnswer
 import org.jujubelead.gateway.store.StoreClient
+import org.jujubelead.gateway.store.success
 import org.jujubelead.platform.wire.StoreRequests
 import org.jujubelead.platform.wire.WireDecoders
 import kotlin.time.Duration
@@ -28,10 +31,14 @@
     private val onChange: (List<Peer>) -> Unit,
 ) {
     private var known: List<Peer> = emptyList()
+    private var listedEra: StoreEra? = null
 
     /** When the latest list was requested; null before the first one. */
     public var readAt: Timestamp? = null
         private set
+
+    /** Until then gateways that are not listed are kept. */
+    private var keepUntil = Timestamp.ZERO
     private val polls = RepeatingTask(
         loop = loop,
         name = "gateway list",
@@ -52,8 +59,7 @@
         store.get(
             StoreRequests.staleRangeReadPath(PREFIX),
             turn.lastStep { result ->
-                val read = result.successBody()?.let { decoders.values(it).get() } ?: return@lastStep
-                val peers = read.mapNotNull(::peer)
+                val peers = result.success()?.let(::listed) ?: return@lastStep
                 if (peers != known) onChange(peers)
                 known = peers
                 readAt = sentAt
@@ -61,6 +67,14 @@
         )
     }
 
+    private fun listed(answer: StoreAnswer): List<Peer>? {
+        val now = store.clock.now()
+        if (answer.era != listedEra) keepUntil = now + REGISTRATION_TIME
+        listedEra = answer.era
+        val peers = decoders.values(answer.body).get()?.mapNotNull(::peer) ?: return null
+        return if (now < keepUntil) (peers + known).distinct() else peers
+    }
+
     private fun peer(text: String): Peer? {
         val zone = text.substringBefore(' ')
         return Peer(Endpoint.parse(text.substringAfter(' ')) ?: return null, ZoneId(zone))
@@ -73,5 +87,8 @@
         /** Shorter until a gateway is found, since all gateways of a deployment start at about the same time. */
         private val INITIAL_INTERVAL: Duration = 1_500.milliseconds
         private val INTERVAL: Duration = 4.seconds
+
+        /** Longer than it takes any gateway to notice a new era and to register in it. */
+        private val REGISTRATION_TIME: Duration = 3.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/PeerDirectory.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/PeerDirectory.kt
@@ -1,6 +1,7 @@
 /**
- * Registers this gateway in the store under a lease, and finds the other gateways. Registers again when its entry is not
- * listed: a write that was executed late can have bound it to an earlier lease. Runs on the control-plane event loop.
+ * Registers this gateway in the store under a lease, and finds the other gateways. Registers again in each era of the
+ * store, since neither the entry nor the lease of an earlier one can be relied on, and when its entry is not listed: a
+ * write that was executed late can have bound it to an earlier lease. Runs on the control-plane event loop.
  */
 package org.jujubelead.gateway.peers
 
@@ -9,11 +10,10 @@
 import org.jujubelead.core.ids.InstanceId
 import org.jujubelead.core.ids.ZoneId
 import org.jujubelead.core.time.Timestamp
-import org.jujubelead.core.replica.Endpoint
-import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.store.StoreClient
-import org.jujubelead.platform.wire.LeaseId
+import org.jujubelead.gateway.store.success
+import org.jujubelead.platform.wire.Lease
 import org.jujubelead.platform.wire.StoreRequests
 import org.jujubelead.platform.wire.WireDecoders
 import kotlin.time.Duration
@@ -29,7 +29,7 @@
     private val decoders: WireDecoders = WireDecoders,
     private val onChange: (List<Peer>) -> Unit,
 ) {
-    private var lease: LeaseId? = null
+    private var lease: Lease? = null
     private var registeredAt = Timestamp.ZERO
     private val list = GatewayListPoller(store, loop, decoders) { all ->
         onChange(all.filter { it.endpoint != own.endpoint })
@@ -41,6 +41,13 @@
         work = ::register,
     )
 
+    init {
+        store.onNewEra {
+            lease = null
+            registration.expedite()
+        }
+    }
+
     public fun start() {
         registration.start()
         list.start()
@@ -54,7 +61,7 @@
             StoreRequests.LEASE_PATH,
             StoreRequests.grantLease(LEASE_TIME),
             done = turn.step { result ->
-                val granted = result.successBody()?.let { decoders.lease(it).get() }
+                val granted = result.success()?.let { decoders.lease(it.body, it.era).get() }
                 if (granted == null) turn.end() else write(granted, turn)
             },
         )
@@ -66,7 +73,7 @@
         return readAt > registeredAt + MAX_STALENESS && !list.lists(own.endpoint)
     }
 
-    private fun write(granted: LeaseId, turn: RepeatingTask.Turn) {
+    private fun write(granted: Lease, turn: RepeatingTask.Turn) {
         val write = StoreRequests.writeWithLease(
             "${GatewayListPoller.PREFIX}${instance.value}",
             "${own.zone.value} ${own.endpoint}",
@@ -76,7 +83,7 @@
             StoreRequests.TRANSACTION_PATH,
             write,
             done = turn.lastStep {
-                if (it.get()?.status == STATUS_OK) {
+                if (it.success()?.era == granted.era) {
                     lease = granted
                     registeredAt = store.clock.now()
                 }
@@ -84,7 +91,7 @@
         )
     }
 
-    private fun renew(held: LeaseId, turn: RepeatingTask.Turn) {
+    private fun renew(held: Lease, turn: RepeatingTask.Turn) {
         store.post(
             StoreRequests.renewLeasePath(held),
             "",
@@ -94,11 +101,11 @@
 
     private companion object {
         val LEASE_TIME: Duration = 8.seconds
+
         /** A stale read may be seconds old. */
         val MAX_STALENESS: Duration = 5.seconds
         val RENEW_INTERVAL: Duration = 2_500.milliseconds
         val RETRY_INTERVAL: Duration = 1_000.milliseconds
-        const val STATUS_OK = 200
         const val STATUS_NOT_FOUND = 404
     }
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceStore.kt
@@ -2,8 +2,9 @@
  * Keeps the evidence against prompt parts in the store, for gateways that start later or that no report reaches.
  *
  * The revision of the evidence is compared in the same call as that of the configuration, so reading it takes no calls
- * of its own. Writes replace a known revision with the merged evidence; after a conflict they are repeated. A trial of
- * a quarantined part is made by the gateway whose write recorded it. Runs on the control-plane event loop.
+ * of its own. Writes replace a known revision with the merged evidence; after a conflict they are repeated. A gateway
+ * that finds evidence missing, as it does when the store has come back from a copy, writes it again. A trial of a
+ * quarantined part is made by the gateway whose write recorded it. Runs on the control-plane event loop.
  */
 package org.jujubelead.gateway.quarantine
 
@@ -13,12 +14,13 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.netty.channel.EventLoop
-import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.quarantine.PartKey
 import org.jujubelead.core.quarantine.PartRecord
-import org.jujubelead.gateway.net.TextResponse
+import org.jujubelead.core.store.StoreEra
+import org.jujubelead.core.store.StoreRevision
 import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.schedule.scheduleOnce
+import org.jujubelead.gateway.store.StoreAnswer
 import org.jujubelead.gateway.store.StoreClient
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
@@ -53,12 +55,21 @@
     )
 
     /** Revision of the stored evidence that this gateway knows; null if there is none. */
-    var revision: Revision? = null
+    var revision: StoreRevision? = null
         private set
 
-    /** Applies a value that was read from the store. */
-    fun onStored(value: StoredValue) {
-        if (value.revision <= (revision ?: Revision(0))) return
+    /** Applies the [value] that was read from the store in [era]; null if there is none. */
+    fun onRead(value: StoredValue?, era: StoreEra) {
+        if (value != null) return onStored(value)
+        val known = revision ?: return
+        if (known.era >= era) return
+        revision = null
+        stored = emptyMap()
+        writes.request()
+    }
+
+    private fun onStored(value: StoredValue) {
+        if (isKnown(value.revision)) return
         revision = value.revision
         stored = decodeEvidence(value.text).getOrElse {
             log.log(LogEvent.EVIDENCE_UNREADABLE, "from" to "store", "detail" to it.detail)
@@ -69,6 +80,8 @@
         writes.request()
     }
 
+    private fun isKnown(read: StoreRevision): Boolean = revision?.let { read <= it } ?: false
+
     /**
      * Stores what [records] add to the stored evidence: at once if this gateway [observed] it, else only if the gateway
      * that did has not stored it for a while.
@@ -115,7 +128,7 @@
         requested: Pair<PartKey, PartRecord>?,
         turn: RepeatingTask.Turn,
     ) {
-        val body = StoreRequests.replace(KEY, revision, encodeEvidence(next))
+        val body = StoreRequests.replace(KEY, revision, encodeEvidence(next), store.era ?: StoreEra.UNKNOWN)
         lastWriteSucceeded = false
         store.post(
             StoreRequests.TRANSACTION_PATH,
@@ -129,17 +142,17 @@
     }
 
     private fun onWriteResponse(
-        answer: TextResponse,
+        answer: StoreAnswer,
         next: Map<PartKey, PartRecord>,
         requested: Pair<PartKey, PartRecord>?,
     ) {
         when (answer.status) {
-            STATUS_OK -> decoders.writeRevision(answer.body)
+            STATUS_OK -> decoders.writeRevision(answer.body, answer.era)
                 .onSuccess { onWritten(it, next, requested) }
                 .onFailure { notStored(it.detail) }
 
-            STATUS_CONFLICT -> decoders.conflict(answer.body)
-                .onSuccess { items -> items[KEY]?.let(::onStored) }
+            STATUS_CONFLICT -> decoders.conflict(answer.body, answer.era)
+                .onSuccess { items -> onRead(items[KEY], answer.era) }
                 .onFailure { notStored(it.detail) }
 
             else -> notStored("status ${answer.status}")
@@ -148,8 +161,12 @@
 
     private fun notStored(detail: String) = log.log(LogEvent.EVIDENCE_NOT_STORED, "detail" to detail)
 
-    private fun onWritten(written: Revision, next: Map<PartKey, PartRecord>, requested: Pair<PartKey, PartRecord>?) {
-        if (written <= (revision ?: Revision(0))) return
+    private fun onWritten(
+        written: StoreRevision,
+        next: Map<PartKey, PartRecord>,
+        requested: Pair<PartKey, PartRecord>?,
+    ) {
+        if (isKnown(written)) return
         revision = written
         stored = next
         requested?.let { (key, _) -> onTrial(key, next.getValue(key)) }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -15,9 +15,9 @@
 import org.jujubelead.core.expertmap.OrderBatch
 import org.jujubelead.core.expertmap.RankObservation
 import org.jujubelead.core.expertmap.batchesOf
-import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.route.ExpertLayout
+import org.jujubelead.core.store.Term
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.schedule.InProgress
 import org.jujubelead.gateway.schedule.scheduleOnce
@@ -30,8 +30,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * @param since revision at which this process became the leader. It is the coordinator's term, and the versions of its
- * maps are above those of earlier leaders.
+ * @param since term of this process as the leader. The versions of its maps are above those of earlier leaders.
  * @param ownRank rank of the local replica.
  * @param reportOwnRank makes the local agent send a status. It tells the pass of the whole group without any use of the
  * link.
@@ -41,7 +40,7 @@
 internal class GroupCoordinator(
     private val runtime: AgentRuntime,
     private val layout: ExpertLayout,
-    private val since: Revision,
+    private val since: Term,
     private val ownRank: () -> Int,
     private val reportOwnRank: () -> Unit,
     private val confirmLeadership: ((Boolean) -> Unit) -> Unit,
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgent.kt
@@ -12,8 +12,8 @@
 import org.jujubelead.core.expertmap.GroupMap
 import org.jujubelead.core.expertmap.MapOrder
 import org.jujubelead.core.expertmap.MapVersion
-import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.core.store.Term
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.RpcClient
 import org.jujubelead.gateway.net.TextResponse
@@ -79,8 +79,8 @@
         }
     }
 
-    /** Follows the coordinator at [leader], which leads since [since]; null while there is none. */
-    fun follow(leader: Endpoint?, since: Revision?) {
+    /** Follows the coordinator at [leader], which leads since term [since]; null while there is none. */
+    fun follow(leader: Endpoint?, since: Term?) {
         if (since != null) {
             term = maxOf(term, since.value)
             termKnown = true
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -7,25 +7,25 @@
  */
 package org.jujubelead.gateway.rank
 
-import com.github.michaelbull.result.get
+import com.github.michaelbull.result.flatMap
 import com.github.michaelbull.result.getOrElse
-import com.github.michaelbull.result.onFailure
 import io.netty.channel.nio.NioEventLoopGroup
-import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.ids.ServiceId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.route.ExpertLayout
+import org.jujubelead.core.store.Term
 import org.jujubelead.gateway.net.HttpClient
 import org.jujubelead.gateway.net.ProcessClock
 import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.net.listen
 import org.jujubelead.gateway.net.servicePipeline
-import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.settings.ProcessDescription
 import org.jujubelead.gateway.store.LeaderElection
 import org.jujubelead.gateway.store.Leadership
+import org.jujubelead.gateway.store.StoreAnswer
 import org.jujubelead.gateway.store.StoreClient
+import org.jujubelead.gateway.store.success
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
 import org.jujubelead.platform.wire.StoreRequests
@@ -99,7 +99,7 @@
 
     private fun handleLeaderAnnouncement(body: String, answer: (TextResponse) -> Unit) {
         val announcement = runtime.decode(LeaderAnnouncement.serializer(), body) ?: return answer(UNREADABLE)
-        Endpoint.parse(announcement.leader)?.let { election.onAnnouncement(it, Revision(announcement.term)) }
+        Endpoint.parse(announcement.leader)?.let { election.onAnnouncement(it, Term(announcement.term)) }
         answer(TextResponse(STATUS_OK, ""))
     }
 
@@ -122,7 +122,7 @@
         store.get(
             StoreRequests.CONFIGURATION_PATH,
             turn.step { result ->
-                val layout = result.successBody()?.let { expertLayout(it, service) }
+                val layout = result.success()?.let { expertLayout(it, service) }
                 if (layout == null || election.leadership != term) return@step turn.end()
                 startCoordinator(term.since, layout)
                 turn.endIdle()
@@ -130,7 +130,7 @@
         )
     }
 
-    private fun startCoordinator(since: Revision, layout: ExpertLayout) {
+    private fun startCoordinator(since: Term, layout: ExpertLayout) {
         coordinator = GroupCoordinator(
             runtime = runtime,
             layout = layout,
@@ -148,10 +148,10 @@
      * Announces the new leader to the agents of all ranks. Agents that miss the announcement read the leader from the
      * store.
      */
-    private fun announceLeader(since: Revision, after: String? = null) {
+    private fun announceLeader(since: Term, after: String? = null) {
         store.get(StoreRequests.replicaPagePath(after)) { result ->
-            val body = result.successBody() ?: return@get
-            val page = decodeReplicaPage(body).getOrElse {
+            val answer = result.success() ?: return@get
+            val page = decodeReplicaPage(answer.body, answer.era).getOrElse {
                 log.log(LogEvent.RANK_UNREADABLE, "detail" to it.detail)
                 return@get
             }
@@ -172,12 +172,10 @@
         caller.post(RankPaths.LEADER, announcement) { caller.close() }
     }
 
-    private fun expertLayout(body: String, of: ServiceId): ExpertLayout? {
-        val stored = decodeStoredValue(body).onFailure {
-            log.log(LogEvent.CONFIGURATION_UNREADABLE, "detail" to it.detail)
-        }
-        val text = stored.get() ?: return null
-        val configuration = decodeConfiguration(text.text, text.revision).getOrElse {
+    private fun expertLayout(answer: StoreAnswer, of: ServiceId): ExpertLayout? {
+        val configuration = decodeStoredValue(answer.body, answer.era).flatMap {
+            decodeConfiguration(it.text)
+        }.getOrElse {
             log.log(LogEvent.CONFIGURATION_UNREADABLE, "detail" to it.detail)
             return null
         }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/schedule/RepeatingTask.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/schedule/RepeatingTask.kt
@@ -34,6 +34,7 @@
     /** Begins the next turn or abandons the current one; null while the task is idle. */
     private var timer: Future<*>? = null
     private var requested = false
+    private var expedited = false
     private var stopped = false
 
     /** One turn. Its functions do nothing once it has ended. */
@@ -87,6 +88,15 @@
         if (current == null && timer == null) beginTurn()
     }
 
+    /** Begins a turn now instead of after the wait time, or right after the current one. */
+    public fun expedite() {
+        if (stopped) return
+        expedited = true
+        if (current != null) return
+        timer?.cancel(false)
+        beginTurn()
+    }
+
     /** Ends the task; a current turn is dropped. */
     public fun stop() {
         stopped = true
@@ -99,6 +109,7 @@
         timer = null
         if (stopped) return
         requested = false
+        expedited = false
         val turn = Turn()
         current = turn
         turn.run { work(turn) }
@@ -109,9 +120,9 @@
         current = null
         timer?.cancel(false)
         timer = null
-        if (idle && !requested) return
+        if (idle && !requested && !expedited) return
         var wait = MIN_WAIT_AFTER_FAILURE
-        guarded(name) { wait = waitTime() }
+        guarded(name) { wait = if (expedited) Duration.ZERO else waitTime() }
         scheduleTurn(wait.coerceAtLeast(minWait))
     }
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/settings/ProcessDescription.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/settings/ProcessDescription.kt
@@ -49,7 +49,13 @@
      */
     val trustedConfigurationAge: Duration get() = revocation * TRUSTED_FRACTION
 
+    /** Like [trustedConfigurationAge], while the store answers but may lack a newer configuration. */
+    val maxConfigurationAge: Duration get() = revocation * MAX_FRACTION
+
     private companion object {
+        /** Leaves a second of the users' bounds for a wall clock that was set back. */
+        const val MAX_FRACTION = 0.8
+
         /** The platform gives no credit for requests with keys beyond this fraction of the bound. */
         const val TRUSTED_FRACTION = 0.6
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
@@ -4,7 +4,8 @@
  * The holder renews its lease, and by its own clock stops leading before the lease can expire. That does not exclude
  * two leaders, since a process can be suspended at any point: the actions of a leader must be safe beside a successor,
  * and [confirmLeadership] checks whether there is one. A process that finds its own address in the key has been
- * restarted; it replaces the key at once, under a new revision, instead of waiting until its former lease expires.
+ * restarted; it replaces the key at once, under a new revision, instead of waiting until its former lease expires. The
+ * same is done in a new era of the store, in which neither the key nor the lease of the holder can be relied on.
  * Followers do not read the store while the leader responds to them. Runs on one event loop.
  */
 package org.jujubelead.gateway.store
@@ -12,16 +13,16 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import io.netty.channel.EventLoop
-import org.jujubelead.core.ids.Revision
 import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.core.store.StoreRevision
+import org.jujubelead.core.store.Term
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
-import org.jujubelead.gateway.net.successBody
 import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.schedule.guarded
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
-import org.jujubelead.platform.wire.LeaseId
+import org.jujubelead.platform.wire.Lease
 import org.jujubelead.platform.wire.StoreRequests
 import org.jujubelead.platform.wire.WireDecoders
 import kotlin.time.Duration
@@ -29,19 +30,19 @@
 import kotlin.time.Duration.Companion.seconds
 
 public sealed interface Leadership {
-    /** Revision at which the leader took over; 0 when no leader is known. */
-    public val since: Revision
+    /** Term of the leader; [Term.NONE] when no leader is known. */
+    public val since: Term
 
     /** No leader is known. */
     public data object Unknown : Leadership {
-        override val since: Revision get() = Revision(0)
+        override val since: Term get() = Term.NONE
     }
 
-    /** Another process has been the leader since store revision [since]. */
-    public data class Follower(val leader: Endpoint, override val since: Revision) : Leadership
+    /** Another process has been the leader since it took over in term [since]. */
+    public data class Follower(val leader: Endpoint, override val since: Term) : Leadership
 
-    /** This process has been the leader since store revision [since]. */
-    public data class Leader(override val since: Revision) : Leadership
+    /** This process has been the leader since it took over in term [since]. */
+    public data class Leader(override val since: Term) : Leadership
 }
 
 /**
@@ -61,15 +62,18 @@
     private val decoders: WireDecoders = WireDecoders,
     private val onChange: (Leadership) -> Unit,
 ) {
-    private var lease: LeaseId? = null
+    private var lease: Lease? = null
     private var renewedAt: ClockReading? = null
 
+    /** Revision of the key with which this process took over. */
+    private var ownRevision: StoreRevision? = null
+
     /** When to try to take over a vacant key; null unless it was found vacant. */
     private var campaignAt: Timestamp? = null
     private val steps = RepeatingTask(loop, "leader election", waitTime = ::timeToNextStep, work = ::step)
 
-    /** Latest revision at which a process is known to have become the leader. */
-    private var latestTerm = Revision(0)
+    /** Term of the latest leader that was known. */
+    private var latestTerm = Term.NONE
 
     public var leadership: Leadership = Leadership.Unknown
         private set
@@ -81,16 +85,20 @@
 
     /** Checks whether this process is still the leader at a moment after the call. */
     public fun confirmLeadership(done: (Boolean) -> Unit) {
-        val since = (leadership as? Leadership.Leader)?.since ?: return done(false)
-        store.post(StoreRequests.TRANSACTION_PATH, StoreRequests.compareRevision(key, since)) { result ->
-            val status = result.get()?.status
-            if (status == STATUS_CONFLICT) transitionTo(Leadership.Unknown)
-            done(status == STATUS_OK)
+        val own = ownRevision
+        if (leadership !is Leadership.Leader || own == null) return done(false)
+        val comparison = StoreRequests.compareRevisions(mapOf(key to own), own.era)
+        store.post(StoreRequests.TRANSACTION_PATH, comparison) { result ->
+            val answer = result.get()
+            val confirmed = answer?.status == STATUS_OK && answer.era == own.era
+            val replaced = answer?.status == STATUS_CONFLICT || (answer != null && answer.era > own.era)
+            if (replaced && ownRevision == own) transitionTo(Leadership.Unknown)
+            done(confirmed)
         }
     }
 
-    /** Handles the announcement that [leader] has been the leader since [since]. */
-    public fun onAnnouncement(leader: Endpoint, since: Revision) {
+    /** Handles the announcement that [leader] has been the leader since term [since]. */
+    public fun onAnnouncement(leader: Endpoint, since: Term) {
         if (since > latestTerm && leader != self) transitionTo(Leadership.Follower(leader, since))
     }
 
@@ -122,7 +130,7 @@
             path,
             turn.step { result ->
                 val answer = result.get()
-                if (answer?.status == STATUS_OK) return@step onLeaderFound(answer.body, turn)
+                if (answer?.status == STATUS_OK) return@step onLeaderFound(answer, turn)
                 if (answer?.status == STATUS_NOT_FOUND) {
                     campaignAt = store.clock.now() + CANDIDATE_DELAY * candidateIndex()
                 }
@@ -131,15 +139,16 @@
         )
     }
 
-    private fun onLeaderFound(body: String, turn: RepeatingTask.Turn) {
-        val stored = decoders.storedValue(body).getOrElse {
+    private fun onLeaderFound(answer: StoreAnswer, turn: RepeatingTask.Turn) {
+        val stored = decoders.storedValue(answer.body, answer.era).getOrElse {
             log.log(LogEvent.LEADER_UNREADABLE, "key" to key, "detail" to it.detail)
             return turn.end()
         }
         val leader = Endpoint.parse(stored.text)
         if (leader == self) return campaign(replacing = stored.revision, turn)
         // A stale read may return an earlier leader.
-        if (leader != null && stored.revision >= latestTerm) transitionTo(Leadership.Follower(leader, stored.revision))
+        val since = stored.revision.term
+        if (leader != null && since >= latestTerm) transitionTo(Leadership.Follower(leader, since))
         turn.end()
     }
 
@@ -149,21 +158,21 @@
     }
 
     /** Tries to become the leader, if there is none or by replacing the key of this process's previous run. */
-    private fun campaign(replacing: Revision?, turn: RepeatingTask.Turn) {
+    private fun campaign(replacing: StoreRevision?, turn: RepeatingTask.Turn) {
         val requestedAt = store.clock.read()
         store.post(
             StoreRequests.LEASE_PATH,
             StoreRequests.grantLease(LEASE_TIME),
             done = turn.step { result ->
-                val granted = result.successBody()?.let { decoders.lease(it).get() }
+                val granted = result.success()?.let { decoders.lease(it.body, it.era).get() }
                 if (granted == null) turn.end() else takeOver(replacing, granted, requestedAt, turn)
             },
         )
     }
 
     private fun takeOver(
-        replacing: Revision?,
-        granted: LeaseId,
+        replacing: StoreRevision?,
+        granted: Lease,
         requestedAt: ClockReading,
         turn: RepeatingTask.Turn,
     ) {
@@ -172,18 +181,19 @@
             StoreRequests.TRANSACTION_PATH,
             write,
             done = turn.lastStep { written ->
-                // The answer to an earlier write would name an earlier term.
-                val since =
-                    written.successBody()?.let { decoders.writeRevision(it).get() }?.takeIf { it > latestTerm }
-                if (since != null) {
+                // The answer to an earlier write would name an earlier term, and a lease of an earlier era is gone.
+                val own = written.success()?.let { decoders.writeRevision(it.body, it.era).get() }
+                    ?.takeIf { it.term > latestTerm && it.era == granted.era }
+                if (own != null) {
                     lease = granted
                     renewedAt = requestedAt
-                    transitionTo(Leadership.Leader(since))
+                    ownRevision = own
+                    transitionTo(Leadership.Leader(own.term))
                 } else {
                     log.log(
                         LogEvent.ELECTION_LOST,
                         "key" to key,
-                        "replacing" to replacing?.value,
+                        "replacing" to replacing?.number,
                         "status" to written.get()?.status,
                         "millis" to store.clock.read().since(requestedAt).inWholeMilliseconds,
                     )
@@ -203,10 +213,28 @@
         store.post(
             StoreRequests.renewLeasePath(held),
             "",
-            done = turn.lastStep { result ->
-                val status = result.get()?.status
-                if (status == STATUS_OK) renewedAt = now
-                if (status == STATUS_NOT_FOUND) transitionTo(Leadership.Unknown)
+            done = turn.step { result ->
+                val answer = result.get()
+                if (answer != null && answer.era > held.era) return@step takeOverInNewEra(turn)
+                if (answer?.status == STATUS_OK) renewedAt = now
+                if (answer?.status == STATUS_NOT_FOUND) transitionTo(Leadership.Unknown)
+                turn.end()
+            },
+        )
+    }
+
+    /** Takes the key again if it is vacant or names this process; the lease may be another one by now. */
+    private fun takeOverInNewEra(turn: RepeatingTask.Turn) {
+        transitionTo(Leadership.Unknown)
+        store.get(
+            StoreRequests.readPath(key),
+            turn.step { result ->
+                val answer = result.get()
+                when (answer?.status) {
+                    STATUS_OK -> onLeaderFound(answer, turn)
+                    STATUS_NOT_FOUND -> campaign(replacing = null, turn)
+                    else -> turn.end()
+                }
             },
         )
     }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
@@ -13,10 +13,10 @@
 import io.netty.channel.EventLoop
 import org.jujubelead.core.replica.Replica
 import org.jujubelead.core.replica.ReplicaDirectory
+import org.jujubelead.core.store.StoreEra
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.CallFailure
-import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
@@ -66,17 +66,14 @@
 
     private fun poll(turn: RepeatingTask.Turn) {
         if (!relay.hasZoneReader) return readStore(turn)
-        val onPages = turn.step { (pages, sentAt): Pair<List<String>?, Timestamp> ->
-            if (pages == null) readStore(turn) else onSharedList(pages, sentAt, turn)
-        }
-        relay.fetch { pages, sentAt -> onPages(pages to sentAt) }
+        relay.fetch(turn.step { shared -> if (shared == null) readStore(turn) else onSharedList(shared, turn) })
     }
 
-    private fun onSharedList(pages: List<String>, sentAt: Timestamp, turn: RepeatingTask.Turn) {
+    private fun onSharedList(shared: ReadPages, turn: RepeatingTask.Turn) {
         polledAt = store.clock.now()
         fromRelay = true
-        val read = pages.mapNotNull(::decode)
-        if (read.size == pages.size) applyPages(read, sentAt)
+        val read = shared.pages.mapNotNull { decode(it, shared.era) }
+        if (read.size == shared.pages.size) applyPages(read, shared.sentAt)
         turn.end()
     }
 
@@ -94,20 +91,26 @@
         sentAt: ClockReading,
         turn: RepeatingTask.Turn,
     ) {
-        val onAnswer = turn.step { result: Result<TextResponse, CallFailure> ->
+        val onAnswer = turn.step { result: Result<StoreAnswer, CallFailure> ->
             result.onFailure { onReadFailed(it.detail) }
             val answer = result.get()
             if (answer != null && answer.status != STATUS_OK) onReadFailed("status ${answer.status}")
-            val body = answer?.takeIf { it.status == STATUS_OK }?.body
-            val page = body?.let(::decode)
+            val read = answer?.takeIf { it.status == STATUS_OK }
+            val page = read?.let { decode(it.body, it.era) }
             val next = page?.next
+            val firstEra = pages.firstOrNull()?.revision?.era
             when {
-                body == null || page == null -> turn.end()
+                read == null || page == null -> turn.end()
+
+                firstEra != null && firstEra != read.era -> {
+                    onReadFailed("pages of era $firstEra and ${read.era}")
+                    turn.end()
+                }
 
-                next != null -> readPage(next, bodies + body, pages + page, sentAt, turn)
+                next != null -> readPage(next, bodies + read.body, pages + page, sentAt, turn)
 
                 else -> {
-                    relay.recordRead(sentAt, bodies + body)
+                    relay.recordRead(sentAt, read.era, bodies + read.body)
                     applyPages(pages + page, sentAt.monotonic)
                     turn.end()
                 }
@@ -116,7 +119,7 @@
         store.get(StoreRequests.replicaPagePath(after), onAnswer)
     }
 
-    private fun decode(body: String): ReplicaPage? = decoders.replicaPage(body).getOrElse {
+    private fun decode(body: String, era: StoreEra): ReplicaPage? = decoders.replicaPage(body, era).getOrElse {
         onReadFailed(it.detail)
         null
     }
@@ -129,7 +132,7 @@
     private fun applyPages(pages: List<ReplicaPage>, sentAt: Timestamp) {
         reportUnreadable(pages.flatMap { it.unreadableKeys })
         val revision = pages.last().revision
-        directory.applyListing(pages.flatMap { it.replicas }, revision, sentAt)
+        directory.applyListing(pages.flatMap { it.replicas }, revision, sentAt, receivedAt = store.clock.now())
         readAt = sentAt
         if (directory.replicas == known) return
         val before = known.orEmpty().mapTo(HashSet()) { it.id.value }
@@ -139,7 +142,8 @@
             "usable" to after.size,
             "added" to (after - before).joinToString(" "),
             "removed" to (before - after).joinToString(" "),
-            "revision" to revision,
+            "revision" to revision.number,
+            "era" to revision.era.value,
             "ageMillis" to (store.clock.now() - sentAt).inWholeMilliseconds,
         )
         onChange(directory.replicas)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaRelay.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaRelay.kt
@@ -14,6 +14,7 @@
 import kotlinx.serialization.json.Json
 import org.jujubelead.core.ids.ZoneId
 import org.jujubelead.core.replica.Endpoint
+import org.jujubelead.core.store.StoreEra
 import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.HttpClient
@@ -26,9 +27,15 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Pages of one complete read of the replica list. [ageMillis] is the time since the read was requested. */
+/**
+ * Pages of one complete read of the replica list in [era]. [ageMillis] is the time since the read was requested. A list
+ * of a version of this program that names no era is of the earliest one.
+ */
 @Serializable
-public data class SharedList(val ageMillis: Long, val pages: List<String>)
+public data class SharedList(val ageMillis: Long, val pages: List<String>, val era: Long = 0)
+
+/** Pages of one complete read of the replica list in [era], which was requested at [sentAt]. */
+public class ReadPages(public val pages: List<String>, public val era: StoreEra, public val sentAt: Timestamp)
 
 /** @param maxAge maximum age of a shared list that is accepted. */
 public class ReplicaRelay(
@@ -38,7 +45,7 @@
     private val log: EventLog,
     private val maxAge: Duration,
 ) {
-    private class Read(val sentAt: ClockReading, val pages: List<String>)
+    private class Read(val sentAt: ClockReading, val era: StoreEra, val pages: List<String>)
 
     @Volatile
     private var last: Read? = null
@@ -56,29 +63,28 @@
         zoneReader = address?.let { HttpClient(it, loop, TIMEOUT) }
     }
 
-    /** Records a complete read from the store. */
-    public fun recordRead(sentAt: ClockReading, pages: List<String>) {
-        last = Read(sentAt, pages)
+    /** Records a complete read from the store in [era]. */
+    public fun recordRead(sentAt: ClockReading, era: StoreEra, pages: List<String>) {
+        last = Read(sentAt, era, pages)
     }
 
     /** Returns the last list that this gateway read, as JSON; null if there is none. */
     public fun sharedList(): String? {
         val read = last ?: return null
         val age = ProcessClock.read().since(read.sentAt)
-        return Json.encodeToString(SharedList.serializer(), SharedList(age.inWholeMilliseconds, read.pages))
+        val list = SharedList(age.inWholeMilliseconds, read.pages, read.era.value)
+        return Json.encodeToString(SharedList.serializer(), list)
     }
 
-    /**
-     * Requests the list from the zone's reader. [done] receives the pages and the time at which they were requested
-     * from the store, or null pages if the store must be read instead.
-     */
-    public fun fetch(done: (pages: List<String>?, sentAt: Timestamp) -> Unit) {
+    /** Requests the list from the zone's reader. [done] receives null if the store must be read instead. */
+    public fun fetch(done: (ReadPages?) -> Unit) {
         val requestedAt = ProcessClock.now()
-        val from = zoneReader ?: return done(null, requestedAt)
+        val from = zoneReader ?: return done(null)
         from.get(PATH) { result ->
             val list = result.successBody()?.let(::decode)
             val age = list?.ageMillis?.milliseconds
-            if (age == null || age > maxAge) done(null, requestedAt) else done(list.pages, requestedAt - age)
+            val usable = list != null && age != null && age <= maxAge
+            done(if (usable) ReadPages(list.pages, StoreEra(list.era), sentAt = requestedAt - age) else null)
         }
     }
 
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/quarantine/EvidenceStoreTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/quarantine/EvidenceStoreTest.kt
@@ -121,6 +121,19 @@
         Gateway("b").awaitParts(setOf("p"))
     }
 
+    /** Guards against evidence that gateways believe to be stored although a return from a copy has dropped it. */
+    @Test
+    fun `evidence that the store has lost is written again`() {
+        configure()
+        val copy = store.copy()
+        val a = Gateway("a")
+        a.publish("p", crash = 1)
+        Gateway("b").awaitParts(setOf("p"))
+        repeat(20) { store.put("other", "$it") }
+        store.returnTo(copy)
+        Gateway("restarted").awaitParts(setOf("p"))
+    }
+
     /** Guards against a trial of a deadly part by each gateway at the same time. */
     @Test
     fun `one of several gateways makes a trial`() {
