Record an era as settled with the first proof in it

Such a read proves for all gateways that the operator has written its newest configuration again, so the era is recorded with the first proof instead of after 2.5 s.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/SettledEraRecord.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/SettledEraRecord.kt
@@ -1,5 +1,5 @@
 /**
- * Record in the store that an era has settled, for gateways that start later.
+ * Record in the store that the newest configuration has been written in an era, for gateways that start later.
  *
  * A gateway that starts cannot know whether the store has just come back from a copy. The record is lost with the store
  * like everything else, so one of an earlier era tells that it may have. Runs on the control-plane event loop.
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
@@ -140,16 +140,15 @@
     private fun onRead(sentAt: ClockReading) {
         settledEra.era?.let(order::onSettledElsewhere)
         order.onUnchanged(sentAt.monotonic)
-        val settled = order.isSettled(sentAt.monotonic)
-        if (settled) store.era?.let(settledEra::record)
         val proven = order.isProof(sentAt.monotonic)
+        if (proven) order.latestRevision?.let { settledEra.record(it.era) }
         // A gateway without any configuration cannot tell an old one from the newest.
         if (proven || state.configuration != null) usePending(sentAt)
         if (state.configuration == null) return
         state = state.copy(
             confirmedAt = if (proven) sentAt else state.confirmedAt,
             replicasReadAt = replicas.readAt,
-            awaitsProof = !proven && !settled,
+            awaitsProof = !proven && !order.isSettled(sentAt.monotonic),
         )
         onChange(state)
     }
