Return the store from a copy in the soak

A sequence of its own changes the configuration, takes the store away, returns it from a copy of up to 9 s, and writes again what operator and replicas had written up to 2 s later, overlapping with all other faults.

--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/Deployment.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/Deployment.kt
@@ -15,8 +15,10 @@
 import org.jujubelead.platform.standins.SimulatedRankGroup
 import org.jujubelead.platform.standins.SimulatedReplica
 import org.jujubelead.platform.standins.SimulatedStore
+import org.jujubelead.platform.standins.StoreContents
 import org.jujubelead.platform.standins.StoreWriter
 import java.io.File
+import java.util.concurrent.ConcurrentHashMap
 
 /** A process that is restarted after it exits, as the platform does. [incarnation] counts its starts. */
 internal class Instance(val name: String, val host: String, private val start: () -> ManagedProcess) {
@@ -50,7 +52,12 @@
     val executionLog = ExecutionLog()
     val answerFaults = AnswerFaults()
     val store = SimulatedStore()
-    val writer = StoreWriter(store, HOST)
+    private val written = ConcurrentHashMap<String, String>()
+    private val copies = ArrayDeque<StoreContents.Copy>()
+    val writer = StoreWriter(HOST) { key, text ->
+        written[key] = text
+        store.put(key, text)
+    }
     val group = SimulatedRankGroup(shape, seed)
     private val ranks = List(size.ranks) { r ->
         SimulatedReplica(
@@ -120,6 +127,25 @@
         writer.configuration(version, routes, keys, shape, MODEL, MAX_BODY_BYTES)
     }
 
+    /** Takes a copy of the store, to be called every [COPY_INTERVAL_MILLIS]. */
+    @Synchronized
+    fun copyStore() {
+        copies.addLast(store.copy())
+        if (copies.size > MAX_COPIES) copies.removeFirst()
+    }
+
+    /** Makes the store return from the copy taken [intervals] before the latest one, in a new era. */
+    @Synchronized
+    fun returnStore(intervals: Int) {
+        store.returnTo(copies[(copies.size - 1 - intervals).coerceAtLeast(0)])
+        copies.clear()
+        copyStore()
+    }
+
+    /** Writes what operator and replicas have written and the store has lost. */
+    @Synchronized
+    fun writeAgain() = written.forEach { (key, text) -> if (store.text(key) != text) store.put(key, text) }
+
     private fun agentHost(rank: Int) = "127.0.2.${rank + 1}"
 
     private fun zone(index: Int) = "z${index % ZONES}"
@@ -168,6 +194,8 @@
         const val RETRY_SLACK = 100
         const val MAX_BODY_BYTES = 4 * 1024 * 1024
 
+        const val COPY_INTERVAL_MILLIS = 250L
+
         /** Part of some prompts. It crashes replicas while the fault is active. */
         const val DEADLY_PART = "deadly"
         private const val MODEL = "model"
@@ -176,6 +204,7 @@
         private const val SLOTS = 4
         private const val ZONES = 3
         private const val EXPERTS_PER_RANK = 4
+        private const val MAX_COPIES = 40
         private const val VERSION_STEP = 3L
         private const val FIRST_PORT = 21_000
         private const val PORT_SLOTS = 200L
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/Main.kt
@@ -27,7 +27,7 @@
     @Option(
         name = "--break",
         usage = "inject a violation to verify that its check fails: " +
-            "answers, once, refusals, maps, prompts, status or truncated",
+            "answers, once, refusals, maps, prompts, status, truncated or config",
     )
     var violation: String? = null
 }
@@ -79,13 +79,26 @@
     fun withAnswer(end: Outcome) = copy(calls = calls.map { if (it === once) it.with(end) else it })
     return when (how) {
         null -> this
+
         "answers" -> withAnswer(answer.copy(body = "another's"))
+
         "once" -> copy(runs = runs + runs.first { it.request == once.id })
+
         "refusals" -> withAnswer(Outcome.Answer(REFUSED, "", true))
+
         "maps" -> copy(mixedPasses = 1)
+
         "prompts" -> copy(crashes = calls.filter { it.deadly }.map { it.sentAt - NANOS_PER_MINUTE }.take(CRASH_LIMIT))
+
         "status" -> withAnswer(answer.copy(status = FAILED))
+
+        "config" -> {
+            val added = calls.last { it.path == "/added/" }
+            copy(calls = calls.map { if (it === added) it.with(Outcome.Answer(DENIED_STATUS, "", true)) else it })
+        }
+
         "truncated" -> copy(answers = answers + (once.id to answers.getValue(once.id).map { it.brokenOff() }))
+
         else -> throw IllegalArgumentException("unknown value of --break: \"$how\"")
     }
 }
@@ -138,6 +151,7 @@
 private const val MAX_MINUTES = 24 * 60
 private const val OK = 200
 private const val REFUSED = 503
+private const val DENIED_STATUS = 404
 private const val FAILED = 500
 private const val MAX_PRINTED = 8
 private const val CRASH_LIMIT = 5
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakChecks.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakChecks.kt
@@ -87,7 +87,17 @@
         val late =
             c.sentAt > maxOf(history.routeAddedAt, history.faultEnd) + Deployment.CONFIGURATION_MILLIS * NANOS_PER_MILLI
         c.path == "/added/" && late && (c.end as? Outcome.Answer)?.status == DENIED
-    }.map { Violation("configuration in force", "${it.id} got 404 after the faults had ended") }
+    }.map { Violation("configuration in force", "${it.id} got 404 after the faults had ended") } +
+        checkDeniedLate(history)
+
+/** A gateway that cannot prove its configuration for the time of a revocation denies nothing, whatever the faults. */
+private fun checkDeniedLate(history: SoakHistory) = history.calls.filter { c ->
+    val late = c.sentAt > history.routeAddedAt + Deployment.REVOCATION_MILLIS * NANOS_PER_MILLI
+    c.path == "/added/" && late && (c.end as? Outcome.Answer)?.status == DENIED
+}.map {
+    val millis = (it.sentAt - history.routeAddedAt) / NANOS_PER_MILLI
+    Violation("configuration in force", "${it.id} got 404 $millis ms after the route had been confirmed")
+}
 
 private fun checkMaps(history: SoakHistory): List<Violation> = listOfNotNull(
     Violation("one map", "${history.mixedPasses} passes mixed two maps").takeIf { history.mixedPasses > 0 },
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakFaults.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakFaults.kt
@@ -22,6 +22,7 @@
     val records: MutableList<FaultRecord> = java.util.Collections.synchronizedList(ArrayList())
     private val randoms = List(SEQUENCES) { Random(seed * SEQUENCES + it) }
     private val answerRandom = Random(-seed - 1)
+    private val returnRandom = Random(seed.inv() * SEQUENCES)
 
     /** `System.nanoTime()` at which the store confirmed the revocation (here) or the added route; 0 until then. */
     @Volatile
@@ -40,9 +41,12 @@
     fun run(millis: Long) {
         val until = System.nanoTime() + millis * NANOS_PER_MILLI
         val answerKinds = generateSequence { AnswerKind.entries }.flatten().iterator()
+        val copies = thread(isDaemon = true, name = "copies", block = ::copyStore)
         val threads = randoms.map { sequence(it, until, ::inject) } +
-            sequence(answerRandom, until) { injectIntoAnswers(answerKinds.next(), it) }
+            sequence(answerRandom, until) { injectIntoAnswers(answerKinds.next(), it) } +
+            sequence(returnRandom, until, ::returnStore)
         threads.forEach { it.join() }
+        copies.interrupt()
         if (revokedAt == 0L) revoke()
         if (routeAddedAt == 0L) addRoute()
     }
@@ -114,6 +118,35 @@
         }
     }
 
+    private fun copyStore() {
+        try {
+            while (true) {
+                deployment.copyStore()
+                Thread.sleep(Deployment.COPY_INTERVAL_MILLIS)
+            }
+        } catch (_: InterruptedException) {
+            return
+        }
+    }
+
+    /**
+     * Takes the store away after a change, and returns it from a copy. What operator and replicas have written is
+     * written again before the fault has ended. A sequence of its own, so that returns overlap with all other faults.
+     */
+    private fun returnStore(random: Random) {
+        Thread.sleep(random.nextLong(MAX_TIME_BETWEEN_RETURNS_MILLIS))
+        changeVersion()
+        Thread.sleep(random.nextLong(MAX_REWRITE_MILLIS))
+        withoutGateway("store returned from a copy") {
+            deployment.store.condition = if (random.nextBoolean()) StoreCondition.REFUSING else StoreCondition.SILENT
+            Thread.sleep(random.nextLong(MIN_FAULT_MILLIS, MAX_OUTAGE_MILLIS))
+            deployment.returnStore(random.nextInt(MAX_COPY_AGE_INTERVALS))
+            deployment.store.condition = StoreCondition.SERVING
+            Thread.sleep(random.nextLong(MAX_REWRITE_MILLIS))
+            deployment.writeAgain()
+        }
+    }
+
     private enum class AnswerKind { COPIED, UNFRAMED }
 
     /**
@@ -176,6 +209,10 @@
         revokedAt = System.nanoTime()
     }
 
+    /** Writes the present configuration in a new version. */
+    @Synchronized
+    private fun changeVersion() = deployment.configure(extraRoute = routeAddedAt != 0L, revoked = revokedAt != 0L)
+
     @Synchronized
     private fun addRoute() {
         if (routeAddedAt != 0L) return
@@ -239,6 +276,10 @@
         const val MAX_PAUSE_MILLIS = 1_200L
         const val MIN_FAULT_MILLIS = 300L
         const val MAX_FAULT_MILLIS = 4_000L
+        const val MAX_OUTAGE_MILLIS = 2_000L
+        const val MAX_REWRITE_MILLIS = 2_000L
+        const val MAX_COPY_AGE_INTERVALS = 36
+        const val MAX_TIME_BETWEEN_RETURNS_MILLIS = 6_000L
         const val STOP_TIMEOUT_MILLIS = 8_000L
         const val DELAY_MILLIS = 200L
         const val FAULT_PROBABILITY = 0.1
--- a/bench/src/test/kotlin/org/jujubelead/bench/soak/SoakChecksTest.kt
+++ b/bench/src/test/kotlin/org/jujubelead/bench/soak/SoakChecksTest.kt
@@ -116,6 +116,14 @@
         expectThat(promises(history(listOf(late)))).isEqualTo(setOf("configuration in force"))
     }
 
+    @Test
+    fun `detects a route that is denied during faults longer than any proof may be old`() {
+        val refused = call("a1", path = "/added/", sentAt = 11 * second, end = Outcome.Answer(503, "", true))
+        expectThat(promises(history(listOf(refused)))).isEmpty()
+        val denied = call("a2", path = "/added/", sentAt = 11 * second, end = Outcome.Answer(404, "", true))
+        expectThat(promises(history(listOf(denied)))).isEqualTo(setOf("configuration in force"))
+    }
+
     @Test
     fun `detects passes with mixed maps and a group that stays held`() {
         expectThat(promises(history(emptyList(), mixedPasses = 1))).isEqualTo(setOf("one map"))
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/schedule/RepeatingTaskTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/schedule/RepeatingTaskTest.kt
@@ -19,6 +19,7 @@
 class RepeatingTaskTest {
     private val loop = DefaultEventLoop()
     private val turns = AtomicInteger()
+    private var onEnd: () -> Unit = {}
 
     private fun task(
         maxTurnTime: Duration = 5_000.milliseconds,
@@ -40,6 +41,22 @@
         loop.shutdownGracefully(0, 1, TimeUnit.SECONDS)
     }
 
+    /** Guards against a read that waits for the next interval although something is known to have changed. */
+    @Test
+    fun `an expedited turn does not wait, and does not overlap the current one`() {
+        val task = task(waitTime = { 10_000.milliseconds }) { turn ->
+            if (turns.get() == 2) onEnd = { turn.end() } else turn.end()
+        }
+        task.start()
+        awaitTurns(1)
+        onLoop { task.expedite() }
+        awaitTurns(2)
+        onLoop { task.expedite() }
+        expectThat(turns.get()).isEqualTo(2)
+        onLoop { onEnd() }
+        awaitTurns(3)
+    }
+
     /** Guards against a loop that goes on only if its work succeeds. */
     @Test
     fun `a turn that throws is followed by the next one`() {
