Read the store when a shared replica list is of an earlier era

A zone's reader that is cut off from the store as it returns shares its last list until that is too old. The list was ignored as one of an earlier era, and the store was not read instead. The test times out without the condition (ReplicaPollerTest).

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
@@ -66,7 +66,12 @@
 
     private fun poll(turn: RepeatingTask.Turn) {
         if (!relay.hasZoneReader) return readStore(turn)
-        relay.fetch(turn.step { shared -> if (shared == null) readStore(turn) else onSharedList(shared, turn) })
+        relay.fetch(
+            turn.step { shared ->
+                val outdated = shared == null || shared.era < (store.era ?: StoreEra.UNKNOWN)
+                if (outdated) readStore(turn) else onSharedList(shared, turn)
+            },
+        )
     }
 
     private fun onSharedList(shared: ReadPages, turn: RepeatingTask.Turn) {
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/store/ReplicaPollerTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/store/ReplicaPollerTest.kt
@@ -1,6 +1,7 @@
 package org.jujubelead.gateway.store
 
 import io.netty.channel.nio.NioEventLoopGroup
+import kotlinx.serialization.json.Json
 import org.jujubelead.core.ids.ZoneId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.replica.Replica
@@ -10,6 +11,8 @@
 import org.jujubelead.gateway.net.servicePipeline
 import org.jujubelead.gateway.peers.Peer
 import org.jujubelead.gateway.telemetry.EventLog
+import org.jujubelead.platform.standins.SimulatedStore
+import org.jujubelead.platform.standins.StoreWriter
 import org.jujubelead.platform.wire.StoreRequests
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
@@ -48,7 +51,7 @@
         )
     }
 
-    private inner class Gateway(host: String) {
+    private inner class Gateway(host: String, storePort: Int = (store.localAddress() as InetSocketAddress).port) {
         val relay = ReplicaRelay(group.next(), zone, Endpoint(host, 99), EventLog(), maxAge = 130.milliseconds)
 
         @Volatile
@@ -64,10 +67,12 @@
         }
         val endpoint = Endpoint(host, (channel.localAddress() as InetSocketAddress).port)
 
+        private val storeAddress = Endpoint("127.0.0.1", storePort)
+
         fun start() = ReplicaPoller(
             store = StoreClient(
                 HttpClient(
-                    Endpoint("127.0.0.1", (store.localAddress() as InetSocketAddress).port),
+                    storeAddress,
                     group.next(),
                     500.milliseconds,
                 ),
@@ -155,4 +160,24 @@
         expectThat(follower.replicas.size).isEqualTo(1)
         expectThat(reads.get()).isGreaterThan(2)
     }
+
+    /** Guards against replicas that are never read again while the zone's reader is cut off from the store. */
+    @Test
+    fun `a shared list of an earlier era of the store is replaced by the store`() {
+        val shared = Json.encodeToString(SharedList.serializer(), SharedList(ageMillis = 0, pages = listOf(page)))
+        val reader = listen(Endpoint("127.0.0.1", 0), group) {
+            servicePipeline(mapOf(ReplicaRelay.PATH to { _, answer -> answer(TextResponse(200, shared)) }))
+        }
+        SimulatedStore().use { eras ->
+            val writer = StoreWriter(eras, "h.example")
+            val follower = Gateway("127.0.0.9", eras.port)
+            follower.start()
+            writer.replica("i1", "s", "10.0.0.1:80", "z", slots = 1)
+            while (follower.replicas.map { it.id.value } != listOf("i1")) Thread.sleep(5)
+            val address = Endpoint("127.0.0.1", (reader.localAddress() as InetSocketAddress).port)
+            group.next().submit { follower.relay.peersChanged(listOf(Peer(address, zone))) }.sync()
+            writer.replica("i2", "s", "10.0.0.2:80", "z", slots = 1)
+            while (follower.replicas.map { it.id.value } != listOf("i1", "i2")) Thread.sleep(5)
+        }
+    }
 }
