--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/StorePoller.kt
@@ -36,7 +36,7 @@
     private val decoders: WireDecoders = WireDecoders,
     private val onChange: (ControlState) -> Unit,
 ) {
-    /** A poll: what it compared, in which era, and when it was sent. */
+    /** A poll that compares the revision [known], if any, with that of the store in [era]. */
     private class Poll(val known: StoreRevision?, val era: StoreEra, val sentAt: ClockReading)
 
     private var state = ControlState()
@@ -109,7 +109,7 @@
                 onStoreRegained()
                 // Numbers of another era than the one that answered do not tell whether anything has changed.
                 if (answer.era != poll.era) return polls.expedite()
-                if (poll.known?.era == poll.era) onRead(poll.sentAt)
+                if (poll.known?.era == poll.era) onLatestFound(poll.sentAt)
             }
 
             STATUS_CONFLICT -> {
@@ -133,11 +133,11 @@
                 read.version != state.configuration?.version -> pending = read
             }
         }
-        onRead(sentAt)
+        onLatestFound(sentAt)
     }
 
     /** Handles that the latest configuration was found in the store by a read sent at [sentAt]. */
-    private fun onRead(sentAt: ClockReading) {
+    private fun onLatestFound(sentAt: ClockReading) {
         settledEra.era?.let(order::onSettledElsewhere)
         order.onUnchanged(sentAt.monotonic)
         val proven = order.isProof(sentAt.monotonic)
