--- a/review/lib-2/Http.java
+++ b/review/lib-2/Http.java
@@ -127,9 +127,13 @@
 
     /** Serves each connection on a thread of its own. */
     static ServerSocket serve(int port, Handler handler) throws IOException {
+        return serve("127.0.0.1", port, handler);
+    }
+
+    static ServerSocket serve(String host, int port, Handler handler) throws IOException {
         ServerSocket server = new ServerSocket();
         server.setReuseAddress(true);
-        server.bind(new InetSocketAddress("127.0.0.1", port), 512);
+        server.bind(new InetSocketAddress(host, port), 512);
         daemon(() -> {
             while (!server.isClosed()) {
                 Socket s;
--- a/review/lib-2/Uploads.java
+++ b/review/lib-2/Uploads.java
@@ -55,7 +55,7 @@
                 return true;
             });
         }
-        Gateway gateway = new Gateway(repository, temporary, "front-1", "south-a", store.port, temporary.resolve("gateway.log"));
+        Gateway gateway = new Gateway(repository, temporary, "front-1", "south-a", store.port);
         try {
             if (gateway.awaitReady()) return play(gateway, byId, record, trouble);
             record.say("the gateway did not become ready");
