--- a/review/lib-2/Client.java
+++ b/review/lib-2/Client.java
@@ -1,10 +1,16 @@
 import java.io.*;
 import java.net.*;
+import java.util.concurrent.*;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A client with one kept channel. */
 final class Client {
     private static final AtomicInteger NEXT = new AtomicInteger();
+    private static final ScheduledExecutorService TIMER = Executors.newScheduledThreadPool(1, r -> {
+        Thread t = new Thread(r, "client-timer");
+        t.setDaemon(true);
+        return t;
+    });
     private final int port;
     private Socket socket;
     private InputStream in;
@@ -23,7 +29,7 @@
 
     /**
      * Sends one request, its body over [paceMs] milliseconds, and calls [onSent] after its last byte. Throws an exception if the
-     * channel ends without a complete answer, or if none has come two seconds after the time budget.
+     * channel ends without a complete answer. The client closes its channel at the end of its time budget.
      */
     Http.Message send(String method, String path, String id, int deadlineMs, String headers, byte[] body, int paceMs,
                       Runnable onSent) throws IOException {
@@ -33,7 +39,17 @@
             socket.setTcpNoDelay(true);
             in = new BufferedInputStream(socket.getInputStream());
         }
-        socket.setSoTimeout(deadlineMs + 2000);
+        Socket own = socket;
+        Future<?> budget = TIMER.schedule(() -> close(own), deadlineMs, TimeUnit.MILLISECONDS);
+        try {
+            return exchange(method, path, id, deadlineMs, headers, body, paceMs, onSent);
+        } finally {
+            budget.cancel(false);
+        }
+    }
+
+    private Http.Message exchange(String method, String path, String id, int deadlineMs, String headers, byte[] body, int paceMs,
+                                  Runnable onSent) throws IOException {
         String head = method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: "
             + deadlineMs + "\r\n" + headers;
         if (body.length > 0) head += "Content-Length: " + body.length + "\r\n";
@@ -61,11 +77,15 @@
     }
 
     void close() {
+        close(socket);
+        socket = null;
+    }
+
+    private static void close(Socket s) {
         try {
-            if (socket != null) socket.close();
+            if (s != null) s.close();
         } catch (IOException e) {
             // Closed already.
         }
-        socket = null;
     }
 }
--- a/review/lib-2/Groups.java
+++ b/review/lib-2/Groups.java
@@ -11,14 +11,16 @@
     private static final int EXPERTS = 24;
     private static final int SPARE = 3;
     private static final long SHIFT_AT_MS = 15_000;
-    private static final long RUN_MS = 40_000;
+    private static final long SHIFT_EVERY_MS = 7_000;
+    private static final long RUN_MS = 45_000;
     private static final String SERVICE = "model";
 
     /** Each rank has one of them with map 0. */
     private static final Set<Integer> EVEN = Set.of(0, 1, 2, 3, 4, 5);
 
-    /** Half of them have changed; with map 0, rank 0 has four. */
-    private static final Set<Integer> SHIFTED = Set.of(0, 1, 2, 6, 12, 18);
+    /** In each, half of the experts of the one before have changed; with map 0, one rank has four of them. */
+    private static final List<Set<Integer>> SHIFTED = List.of(
+        Set.of(0, 1, 2, 6, 12, 18), Set.of(3, 1, 2, 9, 15, 21), Set.of(3, 4, 5, 10, 16, 22), Set.of(0, 4, 5, 6, 12, 18));
 
     public static void main(String[] args) {
         Case.run(args, Groups::check);
@@ -39,8 +41,10 @@
         try {
             for (int i = 0; i < groups.size() * RANKS; i++) {
                 String host = "127.0.1." + (i + 1);
-                RankGroup group = groups.get(i / RANKS);
-                group.serve(i % RANKS, host, replicaPort);
+                int rank = i / groups.size();
+                // The groups lie side by side in the zone: a0 b0 b1 a1 a2 b2 and so on.
+                RankGroup group = groups.get((i + rank) % groups.size());
+                group.serve(rank, host, replicaPort);
                 register(store, "i-model" + i, host + ":" + replicaPort);
                 agents.add(new Program(repository, temporary, "rank-agent", "side-" + (i + 1), Map.of(
                     "ip", Program.text(host), "zone", Program.text("south-a"),
@@ -49,11 +53,13 @@
                     "provider.address", Program.text("127.0.0.1:" + store.port))));
             }
             Thread.sleep(SHIFT_AT_MS);
-            if (trouble) {
-                record.line("shift  other experts are in demand");
-                groups.forEach(g -> g.shift(SHIFTED));
+            for (int i = 0; i < SHIFTED.size() && trouble; i++) {
+                Set<Integer> next = SHIFTED.get(i);
+                record.line("shift  other experts are in demand: " + new TreeSet<>(next));
+                groups.forEach(g -> g.shift(next));
+                Thread.sleep(SHIFT_EVERY_MS);
             }
-            Thread.sleep(RUN_MS - SHIFT_AT_MS);
+            Thread.sleep(RUN_MS - SHIFT_AT_MS - (trouble ? SHIFTED.size() * SHIFT_EVERY_MS : 0));
             if (!agents.stream().allMatch(Program::alive)) {
                 record.say("a rank agent has ended");
                 return Case.NOT_RUN;
--- a/review/lib-2/Replica.java
+++ b/review/lib-2/Replica.java
@@ -15,8 +15,12 @@
     private final String zone;
     private final int slots;
     private final long born = System.currentTimeMillis();
+    private final Store store;
+    private volatile boolean draining;
+    private int seq;
 
     Replica(Store store, String id, String service, String zone, int slots, Work work) throws IOException {
+        this.store = store;
         this.id = id;
         this.service = service;
         this.zone = zone;
@@ -31,8 +35,8 @@
         });
         port = server.getLocalPort();
         Http.daemon(() -> {
-            for (int seq = 1; ; seq++) {
-                store.put("servers/" + id, entry(seq));
+            while (true) {
+                checkIn();
                 try {
                     Thread.sleep(1200);
                 } catch (InterruptedException e) {
@@ -42,9 +46,19 @@
         });
     }
 
+    private synchronized void checkIn() {
+        store.put("servers/" + id, entry(++seq));
+    }
+
+    /** Reports that the replica is draining; the store has accepted the report when this returns. */
+    void drain() {
+        draining = true;
+        checkIn();
+    }
+
     private String entry(int seq) {
         return "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + port + "\",\"zone\":\"" + zone
-            + "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"ready\",\"coldRemainingMs\":0,\"born\":" + born
+            + "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + (draining ? "draining" : "ready") + "\",\"coldRemainingMs\":0,\"born\":" + born
             + ",\"seq\":" + seq + "}";
     }
 
--- a/review/lib-2/Store.java
+++ b/review/lib-2/Store.java
@@ -27,6 +27,10 @@
 
     Store() throws IOException {
         ServerSocket server = Http.serve(0, (m, in, out, s) -> {
+            if (m.firstLine.split(" ").length != 3) {
+                out.write(Http.response("400 Bad Request", "Connection: close\r\n", new byte[0]));
+                return false;
+            }
             Http.readBody(in, m);
             String[] answer = call(m.method(), m.target(), m.text());
             byte[] body = answer[1].getBytes(StandardCharsets.UTF_8);
@@ -69,6 +73,24 @@
         if (items.values().removeIf(i -> i.lease == id)) revision++;
     }
 
+    /** The items behind the key [after], at most 500 and no more once they have a megabyte. */
+    private String page(String prefix, String after) {
+        List<String> found = new ArrayList<>();
+        int bytes = 0;
+        boolean more = false;
+        for (Map.Entry<String, Item> e : items.tailMap(after, false).entrySet()) {
+            if (!e.getKey().startsWith(prefix)) continue;
+            if (found.size() >= 500 || bytes >= 1_000_000) {
+                more = true;
+                break;
+            }
+            String item = json(e.getKey(), e.getValue());
+            found.add(item);
+            bytes += item.length();
+        }
+        return "{\"items\":[" + String.join(",", found) + "],\"hasMore\":" + more + ",\"storeRevision\":" + revision + "}";
+    }
+
     private synchronized String[] call(String method, String target, String body) {
         expire();
         String path = target.contains("?") ? target.substring(0, target.indexOf('?')) : target;
@@ -78,13 +100,7 @@
             return item == null ? answer("404 Not Found", "{}") : answer("200 OK", json(query.get("key"), item));
         }
         if (path.equals("/kv-range")) {
-            List<String> found = new ArrayList<>();
-            String after = query.getOrDefault("after", "");
-            items.forEach((k, i) -> {
-                if (k.startsWith(query.get("pathPrefix")) && k.compareTo(after) > 0) found.add(json(k, i));
-            });
-            return answer("200 OK", "{\"items\":[" + String.join(",", found) + "],\"hasMore\":false,"
-                + "\"storeRevision\":" + revision + "}");
+            return answer("200 OK", page(query.get("pathPrefix"), query.getOrDefault("after", "")));
         }
         if (path.equals("/kv-lease")) {
             Lease l = new Lease();
