--- a/review/lib-2/EndlessBody.java
+++ b/review/lib-2/EndlessBody.java
@@ -135,7 +135,7 @@
         long sentAt = now();
         String end;
         try {
-            end = Integer.toString(c.send("POST", "/" + service.name + "/1", id, service.budgetMs, "", new byte[600]).status());
+            end = Integer.toString(c.send("POST", "/" + service.name + "/1", id, service.budgetMs, new byte[600]).status());
         } catch (IOException e) {
             end = now() - sentAt >= service.budgetMs ? "left at the end of the time budget" : "channel ended";
             c.close();
--- a/review/lib-2/OddKey.java
+++ b/review/lib-2/OddKey.java
@@ -87,7 +87,7 @@
             sentAt.put(id, now());
             String end;
             try {
-                end = Integer.toString(c.send("POST", "/release/1", id, DEADLINE_MS, "", new byte[600]).status());
+                end = Integer.toString(c.send("POST", "/release/1", id, DEADLINE_MS, new byte[600]).status());
             } catch (IOException e) {
                 end = "channel ended";
                 c.close();
--- a/review/lib-2/Program.java
+++ b/review/lib-2/Program.java
@@ -59,20 +59,6 @@
         return process.isAlive();
     }
 
-    long pid() {
-        return process.pid();
-    }
-
-    /** Sends SIGTERM. */
-    void terminate() {
-        process.destroy();
-    }
-
-    /** Sends the signal [name] with the command kill. */
-    void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
-    }
-
     /** Ends the process. */
     void kill() {
         process.destroyForcibly();
--- a/review/lib-2/SecondCopies.java
+++ b/review/lib-2/SecondCopies.java
@@ -77,7 +77,7 @@
                     String id = Client.nextId();
                     String end;
                     try {
-                        Http.Message m = c.send(safe ? "GET" : "POST", safe ? "/lookup/1" : "/release/1", id, DEADLINE_MS, "",
+                        Http.Message m = c.send(safe ? "GET" : "POST", safe ? "/lookup/1" : "/release/1", id, DEADLINE_MS,
                             new byte[safe ? 0 : 600]);
                         end = m.status() == 200 ? compare(id, m.body) : Integer.toString(m.status());
                     } catch (IOException e) {
--- a/review/lib-2/Store.java
+++ b/review/lib-2/Store.java
@@ -46,10 +46,6 @@
         return write(key, Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8)), 0);
     }
 
-    synchronized void remove(String key) {
-        if (items.remove(key) != null) revision++;
-    }
-
     private long write(String key, String value, long lease) {
         Item item = items.computeIfAbsent(key, k -> new Item());
         item.value = value;
