Escape keys in requests to the store, and read all ranges in pages

Cause: the key at the end of a page was put into the target of the request for the next page as it stood. The HTTP client rejected the target, or the store read another key from it. The failed page then dropped the whole read.

Change: one function escapes text in targets, and bodies of transactions are serialized. One reader of ranges for replicas, gateways (read without a second page before) and the announcement of coordinators. The pages before one that fails count, and a page that names itself as the next one ends the read. Replica names and hosts must be ones that can be sent. A request that cannot be built fails at once.

RangeReaderTest and StoreRequestsTest are new.

--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/Deployment.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/Deployment.kt
@@ -51,7 +51,7 @@
     val shape = GroupShape(ranks = size.ranks, sets = 2, experts = size.ranks * EXPERTS_PER_RANK)
     val executionLog = ExecutionLog()
     val answerFaults = AnswerFaults()
-    val store = SimulatedStore()
+    val store = SimulatedStore(maxPageItems = STORE_PAGE_ITEMS)
     private val written = ConcurrentHashMap<String, String>()
     private val copies = ArrayDeque<StoreContents.Copy>()
     val writer = StoreWriter(HOST) { key, text ->
@@ -85,6 +85,7 @@
             writer.replica(replica.id, MODEL, "${agentHost(r)}:${basePort + REPLICA_OFFSET}", zone(r), slots = SLOTS)
         }
         plain.forEachIndexed { i, replica -> publishReplica(i, replica.id, draining = false) }
+        for (name in FOREIGN_NAMES) writer.foreignEntry(name)
         configure(extraRoute = false, revoked = false)
     }
 
@@ -198,6 +199,13 @@
 
         /** Part of some prompts. It crashes replicas while the fault is active. */
         const val DEADLY_PART = "deadly"
+
+        /** Keys of entries of another writer, between those of the replicas. */
+        private val FOREIGN_NAMES =
+            listOf(" a", "plain-0 (copy)", "plain-0&after=servers/z", "rank-0#1", "rank-1%2", "z+")
+
+        /** Small, so that lists have several pages and some end with a foreign entry. */
+        private const val STORE_PAGE_ITEMS = 3
         private const val MODEL = "model"
         private const val PLAIN = "plain"
         private const val JAR = "target/jujubelead.jar"
--- a/core/src/main/kotlin/org/jujubelead/core/replica/Replica.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/replica/Replica.kt
@@ -19,11 +19,14 @@
     public companion object {
         private const val MAX_PORT = 65_535
 
+        /** Characters of host names and IP addresses. */
+        private val hostPattern = Regex("""[A-Za-z0-9._:\[\]-]+""")
+
         /** Parses `HOST:PORT`. Returns null if [text] has another format. */
         public fun parse(text: String): Endpoint? {
             val port = text.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..MAX_PORT } ?: return null
-            val host = text.substringBeforeLast(':').ifEmpty { return null }
-            return Endpoint(host, port)
+            val host = text.substringBeforeLast(':')
+            return if (hostPattern.matches(host)) Endpoint(host, port) else null
         }
     }
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpClient.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpClient.kt
@@ -72,6 +72,11 @@
         timeout: Duration,
         done: (Result<TextResponse, CallFailure>) -> Unit,
     ) {
+        val request = try {
+            request(method, path, body)
+        } catch (e: IllegalArgumentException) {
+            return done(Err(CallFailure("not a valid request: ${e.message}")))
+        }
         val call = Call(maxResponseBytes, done)
         val timer = loop.scheduleOnce(timeout, "call timeout", call::expire)
         call.onEnd = { timer.cancel(false) }
@@ -83,7 +88,7 @@
 
                 else -> {
                     call.connection = connection
-                    connection.send(request(method, path, body), call)
+                    connection.send(request, call)
                 }
             }
         }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/GatewayListPoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/GatewayListPoller.kt
@@ -5,17 +5,17 @@
  */
 package org.jujubelead.gateway.peers
 
-import com.github.michaelbull.result.get
 import io.netty.channel.EventLoop
 import org.jujubelead.core.ids.ZoneId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.store.StoreEra
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.schedule.RepeatingTask
-import org.jujubelead.gateway.store.StoreAnswer
+import org.jujubelead.gateway.store.RangeRead
 import org.jujubelead.gateway.store.StoreClient
-import org.jujubelead.gateway.store.success
-import org.jujubelead.platform.wire.StoreRequests
+import org.jujubelead.gateway.store.readRange
+import org.jujubelead.platform.wire.KeyRange
+import org.jujubelead.platform.wire.ValuePage
 import org.jujubelead.platform.wire.WireDecoders
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -56,23 +56,22 @@
 
     private fun list(turn: RepeatingTask.Turn) {
         val sentAt = store.clock.now()
-        store.get(
-            StoreRequests.staleRangeReadPath(PREFIX),
-            turn.lastStep { result ->
-                val peers = result.success()?.let(::listed) ?: return@lastStep
-                if (peers != known) onChange(peers)
-                known = peers
-                readAt = sentAt
-            },
-        )
+        store.readRange(RANGE, turn, { body, _ -> decoders.valuePage(body) }) { read ->
+            if (read.pages.isNotEmpty()) onRead(read, sentAt)
+            turn.end()
+        }
     }
 
-    private fun listed(answer: StoreAnswer): List<Peer>? {
+    private fun onRead(read: RangeRead<ValuePage>, sentAt: Timestamp) {
         val now = store.clock.now()
-        if (answer.era != listedEra) keepUntil = now + REGISTRATION_TIME
-        listedEra = answer.era
-        val peers = decoders.values(answer.body).get()?.mapNotNull(::peer) ?: return null
-        return if (now < keepUntil) (peers + known).distinct() else peers
+        if (read.era != listedEra) keepUntil = now + REGISTRATION_TIME
+        listedEra = read.era
+        val listed = read.pages.flatMap { it.content.texts }.mapNotNull(::peer)
+        val complete = read.failure == null
+        val peers = if (complete && now >= keepUntil) listed else (listed + known).distinct()
+        if (peers != known) onChange(peers)
+        known = peers
+        if (complete) readAt = sentAt
     }
 
     private fun peer(text: String): Peer? {
@@ -83,6 +82,7 @@
     public companion object {
         /** Prefix of the keys of gateway entries. */
         public const val PREFIX: String = "gateways/"
+        private val RANGE = KeyRange(PREFIX, stale = true)
 
         /** Shorter until a gateway is found, since all gateways of a deployment start at about the same time. */
         private val INITIAL_INTERVAL: Duration = 1_500.milliseconds
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -25,6 +25,7 @@
 import org.jujubelead.gateway.store.Leadership
 import org.jujubelead.gateway.store.StoreAnswer
 import org.jujubelead.gateway.store.StoreClient
+import org.jujubelead.gateway.store.readRange
 import org.jujubelead.gateway.store.success
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
@@ -60,6 +61,8 @@
     private var coordinator: GroupCoordinator? = null
     private val coordinatorStart =
         RepeatingTask(loop, "coordinator start", waitTime = { COORDINATOR_RETRY_INTERVAL }, work = ::startCoordinator)
+    private val announcement =
+        RepeatingTask(loop, "announcement", waitTime = { COORDINATOR_RETRY_INTERVAL }, work = ::announceLeader)
     private val stopped = CountDownLatch(1)
 
     /** Runs the agent until [stop] is called. */
@@ -140,30 +143,26 @@
             confirmLeadership = election::confirmLeadership,
             reporter = SlowRankReporter(own.host, service, since.value, store, loop),
         )
-        announceLeader(since)
+        announcement.request()
         agent.report()
     }
 
     /**
-     * Announces the new leader to the agents of all ranks. Agents that miss the announcement read the leader from the
-     * store.
+     * Announces this agent, if it leads, to the agents of all ranks. Agents that miss the announcement read the leader
+     * from the store.
      */
-    private fun announceLeader(since: Term, after: String? = null) {
-        store.get(StoreRequests.replicaPagePath(after)) { result ->
-            val answer = result.success() ?: return@get
-            val page = decodeReplicaPage(answer.body, answer.era).getOrElse {
-                log.log(LogEvent.RANK_UNREADABLE, "detail" to it.detail)
-                return@get
-            }
+    private fun announceLeader(turn: RepeatingTask.Turn) {
+        val term = election.leadership as? Leadership.Leader ?: return turn.endIdle()
+        store.readRange(StoreRequests.REPLICAS, turn, ::decodeReplicaPage) { read ->
+            read.failure?.let { log.log(LogEvent.RANK_UNREADABLE, "detail" to it) }
             val announcement = rankJson.encodeToString(
                 LeaderAnnouncement.serializer(),
-                LeaderAnnouncement(leader = own.toString(), term = since.value),
+                LeaderAnnouncement(leader = own.toString(), term = term.since.value),
             )
-            for (r in page.replicas) {
-                val peer = Endpoint(r.endpoint.host, own.port)
-                if (r.service == service && peer != own) announceTo(peer, announcement)
-            }
-            page.next?.let { announceLeader(since, after = it) }
+            val peers = read.pages.flatMap { it.content.replicas }
+                .filter { it.service == service }.map { Endpoint(it.endpoint.host, own.port) }
+            peers.distinct().filter { it != own }.forEach { announceTo(it, announcement) }
+            if (read.failure == null) turn.endIdle() else turn.end()
         }
     }
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/ReplicaPoller.kt
@@ -6,17 +6,12 @@
  */
 package org.jujubelead.gateway.store
 
-import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
-import com.github.michaelbull.result.onFailure
 import io.netty.channel.EventLoop
 import org.jujubelead.core.replica.Replica
 import org.jujubelead.core.replica.ReplicaDirectory
 import org.jujubelead.core.store.StoreEra
-import org.jujubelead.core.time.ClockReading
 import org.jujubelead.core.time.Timestamp
-import org.jujubelead.gateway.net.CallFailure
 import org.jujubelead.gateway.schedule.RepeatingTask
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
@@ -86,42 +81,18 @@
         val sentAt = store.clock.read()
         polledAt = sentAt.monotonic
         fromRelay = false
-        readPage(after = null, bodies = emptyList(), pages = emptyList(), sentAt, turn)
-    }
-
-    private fun readPage(
-        after: String?,
-        bodies: List<String>,
-        pages: List<ReplicaPage>,
-        sentAt: ClockReading,
-        turn: RepeatingTask.Turn,
-    ) {
-        val onAnswer = turn.step { result: Result<StoreAnswer, CallFailure> ->
-            result.onFailure { onReadFailed(it.detail) }
-            val answer = result.get()
-            if (answer != null && answer.status != STATUS_OK) onReadFailed("status ${answer.status}")
-            val read = answer?.takeIf { it.status == STATUS_OK }
-            val page = read?.let { decode(it.body, it.era) }
-            val next = page?.next
-            val firstEra = pages.firstOrNull()?.revision?.era
-            when {
-                read == null || page == null -> turn.end()
-
-                firstEra != null && firstEra != read.era -> {
-                    onReadFailed("pages of era $firstEra and ${read.era}")
-                    turn.end()
-                }
-
-                next != null -> readPage(next, bodies + read.body, pages + page, sentAt, turn)
-
-                else -> {
-                    relay.recordRead(sentAt, read.era, bodies + read.body)
-                    applyPages(pages + page, sentAt.monotonic)
-                    turn.end()
-                }
+        store.readRange(StoreRequests.REPLICAS, turn, decoders::replicaPage) { read ->
+            val pages = read.pages.map { it.content }
+            val failure = read.failure
+            if (failure == null) {
+                relay.recordRead(sentAt, checkNotNull(read.era), read.pages.map { it.body })
+                applyPages(pages, sentAt.monotonic)
+            } else {
+                onReadFailed(failure)
+                if (pages.isNotEmpty()) applyEntries(pages, sentAt.monotonic)
             }
+            turn.end()
         }
-        store.get(StoreRequests.replicaPagePath(after), onAnswer)
     }
 
     private fun decode(body: String, era: StoreEra): ReplicaPage? = decoders.replicaPage(body, era).getOrElse {
@@ -136,9 +107,14 @@
 
     private fun applyPages(pages: List<ReplicaPage>, sentAt: Timestamp) {
         reportUnreadable(pages.flatMap { it.unreadableKeys })
+        readAt = sentAt
+        applyEntries(pages, sentAt)
+    }
+
+    /** Applies the entries of [pages]. After a failed read these are a part of the list, and the others are kept. */
+    private fun applyEntries(pages: List<ReplicaPage>, sentAt: Timestamp) {
         val revision = pages.last().revision
         directory.applyListing(pages.flatMap { it.replicas }, revision, sentAt, receivedAt = store.clock.now())
-        readAt = sentAt
         if (directory.replicas == known) return
         val before = known.orEmpty().mapTo(HashSet()) { it.id.value }
         val after = directory.replicas.mapTo(HashSet()) { it.id.value }
@@ -177,6 +153,5 @@
 
         /** Minimum delay between polls, so that a failing store is not polled in a tight loop. */
         val MIN_POLL_DELAY: Duration = 50.milliseconds
-        const val STATUS_OK = 200
     }
 }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/store/ReplicaPollerTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/store/ReplicaPollerTest.kt
@@ -43,7 +43,7 @@
     private val store = listen(Endpoint("127.0.0.1", 0), group) {
         servicePipeline(
             mapOf(
-                StoreRequests.replicaPagePath(after = null).substringBefore('?') to { _, answer ->
+                StoreRequests.RANGE_PATH to { _, answer ->
                     reads.incrementAndGet()
                     answer(if (storeUp) TextResponse(200, page) else TextResponse(503, ""))
                 },
