Limit what one connection does in one turn of an event loop

Cause: all events of a read were passed on in that read, each with a write and a flush, and a line feed was an event. Stopping the reads of the replica, when the caller could not keep up, left the events that had been read.

Ruled out: the memory of the gateway (events were limited in size), the control loop (another thread), and the deadline (its timer waits like all others).

Change: connections are read once in a turn, 16 KB at most. StreamForwarder passes on 64 events or 64 KB in a turn with one flush, and stops while the caller does not read; the rest follows a millisecond later. Blank lines are no events; 64 of them in a row or 10,000 events without a new id are a faulty answer. An unfinished line is searched once. Internal services handle one call of a connection at a time, in order.

--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/Main.kt
@@ -27,7 +27,7 @@
     @Option(
         name = "--break",
         usage = "inject a violation to verify that its check fails: " +
-            "answers, once, refusals, maps, prompts, status, truncated or config",
+            "answers, once, refusals, maps, prompts, status, truncated, busy or config",
     )
     var violation: String? = null
 }
@@ -97,6 +97,8 @@
             copy(calls = calls.map { if (it === added) it.with(Outcome.Answer(DENIED_STATUS, "", true)) else it })
         }
 
+        "busy" -> copy(loopDelays = loopDelays + LoopDelay("gateway-0", "data", atMillis = 0, millis = 600))
+
         "truncated" -> copy(answers = answers + (once.id to answers.getValue(once.id).map { it.brokenOff() }))
 
         else -> throw IllegalArgumentException("unknown value of --break: \"$how\"")
@@ -111,8 +113,10 @@
     mixedPasses: Int = this.mixedPasses,
     crashes: List<Long> = this.crashes,
     answers: Map<String, List<GivenAnswer>> = this.answers,
+    loopDelays: List<LoopDelay> = this.loopDelays,
 ) = SoakHistory(
     calls, runs, arrivals, answers, crashes, faults, revokedAt, routeAddedAt, mixedPasses, heldMillis, faultEnd,
+    loopDelays,
 )
 
 /** One run: start-up, fault injection, recovery, shutdown. The process logs are kept in target/soak. */
@@ -142,6 +146,7 @@
                 mixedPasses = deployment.group.mixedPasses,
                 heldMillis = deployment.group.heldMillis,
                 faultEnd = faultEnd,
+                loopDelays = readLoopDelays(directory),
             )
         }
     }
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakChecks.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakChecks.kt
@@ -27,13 +27,14 @@
     val mixedPasses: Int,
     val heldMillis: Long,
     val faultEnd: Long,
+    val loopDelays: List<LoopDelay>,
 )
 
 internal fun findViolations(history: SoakHistory): List<Violation> = with(history) {
     val byId = runs.groupBy { it.request }
     checkBodies(calls) + checkRepeats(calls, byId) + checkRefusals(calls, byId) + checkRevocation(this, byId) +
         checkInterrupts(this, byId) + checkConfig(this) + checkMaps(this) + checkRetries(this) + checkRecovery(this) +
-        checkDeadlyPrompts(this) + checkAnswers(this)
+        checkDeadlyPrompts(this) + checkAnswers(this) + checkLoops(this)
 }
 
 private fun checkBodies(calls: List<Call>) = calls.mapNotNull { c ->
@@ -105,6 +106,10 @@
         .takeIf { history.heldMillis > MAX_HELD_MILLIS },
 )
 
+private fun checkLoops(history: SoakHistory) = history.loopDelays.ofBusyLoops().map {
+    Violation("answered on time", "${it.gateway} did nothing else for ${it.millis} ms (${it.loop} loop)")
+}
+
 private fun checkRetries(history: SoakHistory): List<Violation> {
     val retries = history.arrivals.values.flatMap { it.drop(1) }.sorted()
     val sent = history.calls.map { it.sentAt }.sorted()
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakFaults.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakFaults.kt
@@ -147,7 +147,7 @@
         }
     }
 
-    private enum class AnswerKind { COPIED, UNFRAMED }
+    private enum class AnswerKind { COPIED, UNFRAMED, ENDLESS }
 
     /**
      * A sequence of its own, so that these faults overlap with all others. They excuse no request that is cut: the
@@ -157,6 +157,12 @@
         val faults = deployment.answerFaults
         val millis = random.nextLong(MIN_FAULT_MILLIS, MAX_FAULT_MILLIS)
         when (kind) {
+            AnswerKind.ENDLESS -> withoutGateway("answers endless") {
+                faults.endless = ENDLESS_PROBABILITY
+                Thread.sleep(millis)
+                faults.endless = 0.0
+            }
+
             AnswerKind.COPIED -> withoutGateway("answers copied") {
                 faults.copied = COPY_PROBABILITY
                 faults.failed = FAILURE_PROBABILITY
@@ -286,6 +292,7 @@
         const val COPY_PROBABILITY = 0.3
         const val FAILURE_PROBABILITY = 0.3
         const val UNFRAMED_PROBABILITY = 0.5
+        const val ENDLESS_PROBABILITY = 0.2
         const val EARLY_PROBABILITY = 0.8
         const val LATE_ORDER_PROBABILITY = 0.4
         const val NANOS_PER_MILLI = 1_000_000L
--- a/bench/src/test/kotlin/org/jujubelead/bench/soak/SoakChecksTest.kt
+++ b/bench/src/test/kotlin/org/jujubelead/bench/soak/SoakChecksTest.kt
@@ -41,6 +41,7 @@
         mixedPasses: Int = 0,
         heldMillis: Long = 0,
         answers: List<GivenAnswer> = calls.mapNotNull { given(it) },
+        loopDelays: List<LoopDelay> = emptyList(),
     ) = SoakHistory(
         calls = calls + good,
         runs = runs,
@@ -53,12 +54,25 @@
         mixedPasses = mixedPasses,
         heldMillis = heldMillis,
         faultEnd = faultEnd,
+        loopDelays = loopDelays,
     )
 
     private val good = List(20) { call("good-$it") }
 
     private fun promises(history: SoakHistory) = findViolations(history).map { it.promise }.toSet()
 
+    private fun delay(loop: String, millis: Long, atMillis: Long = 10_000) =
+        LoopDelay("gateway-0", loop, atMillis, millis)
+
+    @Test
+    fun `an event loop that is busy for long is found, unless the whole process stood still`() {
+        val busy = history(emptyList(), loopDelays = listOf(delay("data", 600), delay("control", 600, atMillis = 1)))
+        expectThat(promises(busy)).isEqualTo(setOf("answered on time"))
+        val suspended =
+            history(emptyList(), loopDelays = listOf(delay("data", 600), delay("control", 580, atMillis = 10_050)))
+        expectThat(promises(suspended)).isEmpty()
+    }
+
     @Test
     fun `a history without violations passes all checks`() {
         val events = (1..SimulatedReplica.EVENTS).joinToString("") { "id: $it\ndata: event $it of s\n\n" }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/GatewayProcess.kt
@@ -32,6 +32,7 @@
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.GatewayMetrics
 import org.jujubelead.gateway.telemetry.LogEvent
+import org.jujubelead.gateway.telemetry.LoopDelayMonitor
 import java.util.concurrent.CountDownLatch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -105,6 +106,7 @@
             )
         }
         network.next().execute(dataPlane::start)
+        startDelayMonitors()
         log.log(
             LogEvent.STARTED,
             "callers" to callers,
@@ -115,6 +117,14 @@
         stopped.await()
     }
 
+    private fun startDelayMonitors() {
+        val data = LoopDelayMonitor(network.next(), log, "data") {
+            metrics.loopDelay.observe(it.inWholeMicroseconds / MICROS_PER_SECOND)
+        }
+        network.next().execute(data::start)
+        control.next().execute(LoopDelayMonitor(control.next(), log, "control")::start)
+    }
+
     private fun requestDueTrial(evidence: EvidenceStore) {
         val (key, record) = dataPlane.dueTrial() ?: return
         control.next().execute { evidence.requestTrial(key, record) }
@@ -198,6 +208,7 @@
 
         /** Fraction of the grace period that is used, to exit before the platform kills the process. */
         const val GRACE_FRACTION = 0.93
+        const val MICROS_PER_SECOND = 1e6
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
     }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
@@ -102,13 +102,17 @@
     private val request: InboundRequest,
     private val resumesAfter: Long?,
     private val repeatable: Boolean,
-) : ResponseHandler {
+) : ResponseHandler,
+    StreamForwarder.Output {
     val startedAt: Timestamp = ProcessClock.now()
     private var connection: HttpConnection? = null
     private var ended = false
     private var head: ResponseHead? = null
     private var notExecuted: AttemptEnd.NotExecuted? = null
-    private var splitter: EventStreamSplitter? = null
+    private var stream: StreamForwarder? = null
+
+    /** How the attempt ends once the events of its stream were forwarded; null while the response goes on. */
+    private var streamEnd: (() -> AttemptEnd)? = null
     private val body: ByteBuf by lazy { Unpooled.buffer() }
     private var reservedBytes = 0
 
@@ -156,8 +160,14 @@
 
     fun cancel() {
         ended = true
+        stream?.cancel()
         releaseMemory()
-        connection?.close()
+        closeConnection()
+    }
+
+    /** Closes the connection, unless the response has ended and another request may use it. */
+    private fun closeConnection() {
+        if (streamEnd == null) connection?.close()
     }
 
     private fun releaseMemory() {
@@ -165,10 +175,19 @@
         reservedBytes = 0
     }
 
-    fun setAutoRead(on: Boolean) {
-        connection?.setAutoRead(on)
+    /** Goes on with the stream after the caller has read. */
+    fun onCallerWritable() {
+        stream?.onWritable()
     }
 
+    override val writable: Boolean get() = exchange.callerWritable
+
+    override fun setReading(on: Boolean) {
+        if (streamEnd == null) connection?.setAutoRead(on)
+    }
+
+    override fun flush(): Unit = exchange.flushStream()
+
     private fun buildForwardedRequest(timeLeft: Duration, workspace: Workspace?): FullHttpRequest {
         val out =
             DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method, request.uri, request.body.retainedDuplicate())
@@ -229,20 +248,21 @@
         unframed = !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response)
         val streamed = headers.get(HttpHeaderNames.CONTENT_TYPE).orEmpty().startsWith(Headers.EVENT_STREAM)
         if (notExecuted == null && status.code() == HttpResponseStatus.OK.code() && streamed) {
-            splitter =
-                EventStreamSplitter { id, bytes -> onEvent(id, bytes) }
+            stream = StreamForwarder(exchange.loop, this)
         }
     }
 
-    private fun onEvent(id: Long?, bytes: ByteBuf) {
-        if (ended) {
-            bytes.release()
-            return
-        }
+    override fun onEvent(id: Long?, bytes: ByteBuf) {
         eventCount++
         exchange.onEvent(this, id, bytes)
     }
 
+    override fun onFaulty(reason: String): Unit = failAndClose(reason)
+
+    override fun onDrained() {
+        streamEnd?.let { finish(it()) }
+    }
+
     private fun refusalResult(status: HttpResponseStatus): AttemptEnd.NotExecuted =
         if (status.code() == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
             AttemptEnd.NotExecuted(AttemptOutcome.MISPLACED, "misplaced", reachedReplica = true)
@@ -252,14 +272,18 @@
 
     override fun onContent(bytes: ByteBuf) {
         if (ended) return
-        val sse = splitter
+        val sse = stream
         when {
-            sse != null -> if (!sse.append(bytes)) failAndClose("event-too-large")
+            sse != null -> sse.append(bytes)
             !reserveBody(bytes.readableBytes()) -> failAndClose("answer-too-large")
             else -> body.writeBytes(bytes)
         }
     }
 
+    override fun onReadComplete() {
+        stream?.forward()
+    }
+
     /** Small responses always have room, so that large ones of a faulty replica do not fail them. */
     private fun reserveBody(bytes: Int): Boolean {
         val size = body.readableBytes() + bytes
@@ -270,7 +294,7 @@
     }
 
     override fun onComplete() {
-        val sse = splitter
+        val sse = stream
         val responseHead = head
         val refused = notExecuted
         when {
@@ -278,13 +302,13 @@
 
             responseHead == null -> finish(AttemptEnd.Failed("no-answer"))
 
-            sse != null -> finish(
+            sse != null -> endStream(sse) {
                 when {
                     sse.partial -> AttemptEnd.Failed("event-cut", connectionLost = true)
                     unframed && eventCount == 0 && !resuming -> AttemptEnd.Failed("empty-stream", connectionLost = true)
                     else -> AttemptEnd.Answered.StreamEnded
-                },
-            )
+                }
+            }
 
             else -> {
                 val response = BufferedResponse(responseHead.status, responseHead.headers, body)
@@ -303,34 +327,41 @@
         }
     }
 
+    /** Ends the attempt with [end] once the whole events of [sse] were forwarded. */
+    private fun endStream(sse: StreamForwarder, end: () -> AttemptEnd) {
+        streamEnd = end
+        sse.endInput()
+    }
+
     override fun onTransportFailure(reason: TransportFailure) {
         val refused = notExecuted
-        finish(
-            when {
-                refused != null -> refused
-
-                reason == TransportFailure.NOT_WRITTEN -> AttemptEnd.NotExecuted(
-                    AttemptOutcome.FAILED,
-                    "not-written",
-                    reachedReplica = false,
-                )
+        val sse = stream
+        when {
+            refused != null -> finish(refused)
 
-                else -> AttemptEnd.Failed(
-                    reason.name.lowercase().replace('_', '-'),
-                    connectionLost = reason != TransportFailure.MALFORMED,
-                )
-            },
-        )
+            reason == TransportFailure.NOT_WRITTEN ->
+                finish(AttemptEnd.NotExecuted(AttemptOutcome.FAILED, "not-written", reachedReplica = false))
+
+            sse != null -> endStream(sse) { transportFailure(reason) }
+
+            else -> finish(transportFailure(reason))
+        }
     }
 
+    private fun transportFailure(reason: TransportFailure) = AttemptEnd.Failed(
+        reason.name.lowercase().replace('_', '-'),
+        connectionLost = reason != TransportFailure.MALFORMED,
+    )
+
     private fun failAndClose(label: String) {
-        connection?.close()
+        closeConnection()
         finish(AttemptEnd.Failed(label))
     }
 
     private fun finish(result: AttemptEnd) {
         if (ended) return
         ended = true
+        stream?.cancel()
         releaseMemory()
         exchange.onAttemptEnded(this, result)
     }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/CallerConnection.kt
@@ -73,6 +73,9 @@
     /** True if the response that is being sent is one to a HEAD request. */
     val respondsToHead: Boolean get() = current?.method == HttpMethod.HEAD
     val writable: Boolean get() = channel.isWritable
+
+    /** Bytes that were written and not sent yet. */
+    val unsentBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
     val idle: Boolean get() = exchange == null && requestStartedAt == null && pipelined.isEmpty()
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
@@ -191,13 +194,17 @@
         channel.write(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
     }
 
-    /** Sends a chunk of a stream and takes ownership of [bytes]. */
-    fun sendStreamChunk(bytes: ByteBuf) {
+    /** Adds a chunk to a stream, to be sent by [flush], and takes ownership of [bytes]. */
+    fun writeStreamChunk(bytes: ByteBuf) {
         if (!headSent) {
             bytes.release()
             return
         }
-        channel.writeAndFlush(DefaultHttpContent(bytes))
+        channel.write(DefaultHttpContent(bytes))
+    }
+
+    fun flush() {
+        channel.flush()
     }
 
     fun endStream(request: InboundRequest) {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/EventStreamSplitter.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/EventStreamSplitter.kt
@@ -12,47 +12,78 @@
 import io.netty.buffer.Unpooled
 import org.jujubelead.platform.wire.Headers
 
-/** @param onEvent receives the id of each event, null if it has none, and its bytes, of which it takes ownership. */
-internal class EventStreamSplitter(
-    private val maxEventBytes: Int = MAX_EVENT_BYTES,
-    private val onEvent: (id: Long?, bytes: ByteBuf) -> Unit,
-) {
+/** What a stream has next. */
+internal sealed interface StreamPart {
+    /** A whole event; [id] is null if it has none. The receiver takes ownership of [bytes]. */
+    class Event(val id: Long?, val bytes: ByteBuf) : StreamPart
+
+    /** An empty line outside of an event. */
+    data object BlankLine : StreamPart
+
+    /** No whole event has arrived. */
+    data object Incomplete : StreamPart
+
+    /** What is no event; the stream cannot be continued. */
+    class Invalid(val reason: String) : StreamPart
+}
+
+internal class EventStreamSplitter(private val maxEventBytes: Int = MAX_EVENT_BYTES) {
     private val pending = Unpooled.buffer()
 
-    /** Number of pending bytes that belong to complete lines of an incomplete event; they are not scanned again. */
-    private var scannedBytes = 0
+    /** Offset in [pending] of the line that is being read; the lines before it belong to the event. */
+    private var lineOffset = 0
+
+    /** Offset in [pending] up to which that line has no end; these bytes are not searched again. */
+    private var searchedOffset = 0
 
     /** True if bytes of an incomplete event are buffered. */
     val partial: Boolean get() = pending.isReadable
 
-    /**
-     * Returns false if the current event exceeds the maximum size or contains a head; the stream cannot be continued
-     * then.
-     */
-    fun append(bytes: ByteBuf): Boolean {
+    fun append(bytes: ByteBuf) {
+        pending.discardSomeReadBytes()
         pending.writeBytes(bytes)
-        while (true) {
-            val end = eventEnd()
-            if (end < 0) break
-            val lines = pending.toString(pending.readerIndex(), end - pending.readerIndex(), Charsets.UTF_8).lines()
-            if (lines.any(::belongsToHead)) return false
-            scannedBytes = 0
-            onEvent(idOf(lines), pending.readBytes(end - pending.readerIndex()))
+    }
+
+    /** Removes the next part of the stream. */
+    fun next(): StreamPart {
+        val size = sizeOfEvent()
+        return when {
+            (size ?: pending.readableBytes()) > maxEventBytes -> StreamPart.Invalid("event-too-large")
+            size == null -> StreamPart.Incomplete
+            lineOffset == 0 -> StreamPart.BlankLine.also { skip(size) }
+            else -> removeEvent(size)
         }
-        pending.discardSomeReadBytes()
-        return pending.readableBytes() <= maxEventBytes
     }
 
-    /** Returns the index after the empty line that ends the first buffered event; -1 if there is none. */
-    private fun eventEnd(): Int {
+    private fun removeEvent(size: Int): StreamPart {
+        val lines = pending.toString(pending.readerIndex(), size, Charsets.UTF_8).lines()
+        if (lines.any(::belongsToHead)) return StreamPart.Invalid("head-in-stream")
+        val bytes = pending.readBytes(size)
+        skip(0)
+        return StreamPart.Event(idOf(lines), bytes)
+    }
+
+    /** Skips [bytes] and begins a line. */
+    private fun skip(bytes: Int) {
+        pending.skipBytes(bytes)
+        lineOffset = 0
+        searchedOffset = 0
+    }
+
+    /** Returns the number of bytes up to the end of the first empty line; null if none has arrived. */
+    private fun sizeOfEvent(): Int? {
+        val start = pending.readerIndex()
         while (true) {
-            val lineStart = pending.readerIndex() + scannedBytes
-            val newline = pending.indexOf(lineStart, pending.writerIndex(), LF)
-            if (newline < 0) return -1
-            val length = newline - lineStart
-            val empty = length == 0 || (length == 1 && pending.getByte(lineStart) == CR)
+            val newline = pending.indexOf(start + searchedOffset, pending.writerIndex(), LF) - start
+            if (newline < 0) {
+                searchedOffset = pending.readableBytes()
+                return null
+            }
+            val length = newline - lineOffset
+            val empty = length == 0 || (length == 1 && pending.getByte(start + lineOffset) == CR)
             if (empty) return newline + 1
-            scannedBytes = newline + 1 - pending.readerIndex()
+            lineOffset = newline + 1
+            searchedOffset = lineOffset
         }
     }
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -10,6 +10,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -47,6 +48,11 @@
     var finished = false
         private set
 
+    val loop: EventLoop get() = dataPlane.loop
+    val callerWritable: Boolean get() = caller.writable
+
+    /** Sends the events that were forwarded. */
+    val flushStream: () -> Unit get() = caller::flush
     val responseMemory: ByteBudget get() = dataPlane.responseMemory
     val limitTracker: LimitTracker get() = dataPlane.limitTracker
 
@@ -327,8 +333,7 @@
         val gap = a.gapSinceLastEvent()
         if (maxGap != null && gap != null) dataPlane.recordEventGap(service, gap, maxGap)
         if (id != null) lastEvent = id
-        caller.sendStreamChunk(bytes)
-        if (!caller.writable) a.setAutoRead(false)
+        caller.writeStreamChunk(bytes)
     }
 
     private fun startStream(head: ResponseHead) {
@@ -341,7 +346,7 @@
     }
 
     fun onWritabilityChanged(writable: Boolean) {
-        if (writable) attempt?.setAutoRead(true)
+        if (writable) attempt?.onCallerWritable()
     }
 
     private fun onDeadlinePassed() {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/ConnectionPool.kt
@@ -74,6 +74,7 @@
         var connection: HttpConnection? = null
         Bootstrap().group(loop).channel(PollableSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RCVBUF_ALLOCATOR, TurnLimits.readBuffers)
             // Tells the orderly end of a connection from a reset.
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpConnection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpConnection.kt
@@ -59,6 +59,9 @@
 
     public fun onContent(bytes: ByteBuf)
 
+    /** Called after all parts of the response that have arrived together, unless one of them has ended it. */
+    public fun onReadComplete(): Unit = Unit
+
     public fun onComplete()
 
     public fun onTransportFailure(reason: TransportFailure)
@@ -170,6 +173,10 @@
         }
     }
 
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        if (responseStarted) receiver?.onReadComplete()
+    }
+
     private fun handle(msg: Any) {
         // Without a request in flight, these are bytes behind a response, and the connection is being closed.
         val to = receiver ?: return
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpService.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpService.kt
@@ -25,16 +25,32 @@
 public fun servicePipeline(calls: Map<String, CallHandler>): List<ChannelHandler> =
     listOf(HttpServerCodec(), HttpObjectAggregator(MAX_BODY_BYTES), ServiceHandler(calls))
 
+/** Handles the calls of a connection one after another, each in a turn of its own. */
 private class ServiceHandler(private val calls: Map<String, CallHandler>) :
     SimpleChannelInboundHandler<FullHttpRequest>() {
+    private class Call(val path: String, val body: String, val keepAlive: Boolean)
+
+    /** Calls that have arrived while another one is handled. */
+    private val waiting = ArrayDeque<Call>()
+    private var busy = false
+
     override fun channelRead0(ctx: ChannelHandlerContext, request: FullHttpRequest) {
-        val keepAlive = HttpUtil.isKeepAlive(request)
-        val answer = { a: TextResponse -> respond(ctx, a, keepAlive) }
-        val call = calls[request.uri().substringBefore('?')]
-        if (call == null) {
+        val body = request.content().toString(Charsets.UTF_8)
+        waiting += Call(request.uri().substringBefore('?'), body, HttpUtil.isKeepAlive(request))
+        if (busy) ctx.channel().config().isAutoRead = false
+        handleNext(ctx)
+    }
+
+    private fun handleNext(ctx: ChannelHandlerContext) {
+        if (busy) return
+        val call = waiting.removeFirstOrNull() ?: return
+        busy = true
+        val answer = { a: TextResponse -> respond(ctx, a, call.keepAlive) }
+        val handler = calls[call.path]
+        if (handler == null) {
             answer(TextResponse(HttpResponseStatus.NOT_FOUND.code(), "no such path\n"))
         } else {
-            call(request.content().toString(Charsets.UTF_8), answer)
+            handler(call.body, answer)
         }
     }
 
@@ -46,6 +62,9 @@
         response.headers()[HttpHeaderNames.CONTENT_TYPE] = "text/plain; charset=utf-8"
         HttpUtil.setKeepAlive(response, keepAlive)
         ctx.writeAndFlush(response).addListener { if (!keepAlive) ctx.close() }
+        busy = false
+        if (waiting.isEmpty()) ctx.channel().config().isAutoRead = true
+        ctx.executor().execute { handleNext(ctx) }
     }
 
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/Listener.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/Listener.kt
@@ -19,6 +19,7 @@
         .option(ChannelOption.SO_BACKLOG, ACCEPT_QUEUE)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RCVBUF_ALLOCATOR, TurnLimits.readBuffers)
         .childHandler(object : ChannelInitializer<Channel>() {
             override fun initChannel(ch: Channel) {
                 ch.pipeline().addLast(*pipeline().toTypedArray())
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgentProcess.kt
@@ -29,6 +29,7 @@
 import org.jujubelead.gateway.store.success
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.gateway.telemetry.LogEvent
+import org.jujubelead.gateway.telemetry.LoopDelayMonitor
 import org.jujubelead.platform.wire.StoreRequests
 import org.jujubelead.platform.wire.decodeConfiguration
 import org.jujubelead.platform.wire.decodeReplicaPage
@@ -82,6 +83,7 @@
         loop.execute {
             agent.readRank { election.start() }
             agent.start()
+            LoopDelayMonitor(loop, log, "agent").start()
         }
         log.log(LogEvent.STARTED, "service" to service, "replica" to replicaAddress, "store" to description.store)
         stopped.await()
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/GatewayMetrics.kt
@@ -29,6 +29,11 @@
         Histogram.builder().name("jujubelead_first_event_seconds").help("Time to the first event of a stream")
             .classicUpperBounds(*BOUNDS).classicOnly().register(registry)
 
+    /** How late repeated tasks of the data plane's event loop have run. */
+    public val loopDelay: Histogram =
+        Histogram.builder().name("jujubelead_event_loop_delay_seconds").help("Delay of tasks of the event loop")
+            .classicUpperBounds(*BOUNDS).classicOnly().register(registry)
+
     /** Returns all metrics in text format. */
     public fun text(): String {
         val out = ByteArrayOutputStream()
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
@@ -51,4 +51,5 @@
     COORDINATOR_TRAFFIC("JJ-6312"),
     DEFECT("JJ-6901"),
     LINES_DROPPED("JJ-6902"),
+    LOOP_DELAYED("JJ-6903", essential = false),
 }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/GatewayFixture.kt
@@ -90,6 +90,13 @@
         dataPlane.state = dataPlane.state.copy(configuration = configuration(), confirmedAt = at)
     }
 
+    /** Bytes of all callers' connections that were not sent yet. */
+    fun unsentBytes(): Long {
+        var bytes = 0L
+        onLoop { bytes = dataPlane.connections.sumOf { it.unsentBytes } }
+        return bytes
+    }
+
     fun onLoop(run: () -> Unit) = group.next().submit(run).sync()
 
     private fun route(prefix: String, kind: RequestKind, attempts: Int) = Route(
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/SecondCopyStreamTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/SecondCopyStreamTest.kt
@@ -1,6 +1,5 @@
 package org.jujubelead.gateway.caller
 
-import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import org.jujubelead.platform.wire.Headers
 import org.junit.jupiter.api.Test
@@ -48,14 +47,26 @@
         for (cut in 0..events.length) {
             for (copy in listOf(head, head.lowercase(), refusal)) {
                 val forwarded = StringBuilder()
-                val splitter =
-                    EventStreamSplitter { _, bytes: ByteBuf -> forwarded.append(bytes.toString(Charsets.UTF_8)) }
+                val splitter = EventStreamSplitter()
                 val goesOn = (events.take(cut) + copy).all {
                     splitter.append(Unpooled.copiedBuffer("$it", Charsets.UTF_8))
+                    splitter.removeEvents(forwarded)
                 }
                 val whole = events.take(cut).split("\n\n").dropLast(1).joinToString("") { "$it\n\n" }
                 expectThat(goesOn to "$forwarded").describedAs("$cut $copy").isEqualTo(false to whole)
             }
         }
     }
+
+    /** Adds all whole events to [to]. Returns false if the stream cannot be continued. */
+    private fun EventStreamSplitter.removeEvents(to: StringBuilder): Boolean {
+        while (true) {
+            when (val part = next()) {
+                is StreamPart.Event -> to.append(part.bytes.toString(Charsets.UTF_8))
+                is StreamPart.BlankLine -> to.append('\n')
+                is StreamPart.Incomplete -> return true
+                is StreamPart.Invalid -> return false
+            }
+        }
+    }
 }
