Coordinate each group of a service by itself

Cause: the group's name in a report was read and dropped. One coordinator led all ranks of the service and told them apart by their number, which each group has. Size and epoch, which were compared, are the same in both.

Ruled out: late or repeated orders (none was late), and the protocol of a change, which holds with one group.

Agents join the group that their rank reports, refuse orders for others, and lead nothing without one. A rank that has moved is the one observed last.

--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/Deployment.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/Deployment.kt
@@ -48,7 +48,12 @@
 
 internal class Deployment(private val size: DeploymentSize, seed: Long, private val directory: File) : AutoCloseable {
     private val basePort = FIRST_PORT + (seed % PORT_SLOTS).toInt() * PORTS_PER_RUN
-    val shape = GroupShape(ranks = size.ranks, sets = 2, experts = size.ranks * EXPERTS_PER_RANK)
+    private val groupCount = 1 + (seed % MAX_GROUPS).toInt()
+    val shape = GroupShape(
+        ranks = size.ranks / groupCount,
+        sets = 2,
+        experts = size.ranks / groupCount * EXPERTS_PER_RANK,
+    )
     val executionLog = ExecutionLog()
     val answerFaults = AnswerFaults()
     val store = SimulatedStore(maxPageItems = STORE_PAGE_ITEMS)
@@ -58,8 +63,10 @@
         written[key] = text
         store.put(key, text)
     }
-    val group = SimulatedRankGroup(shape, seed)
-    private val ranks = List(size.ranks) { r ->
+
+    /** Groups of the model's ranks: one or, with every other seed, two whose ranks lie side by side. */
+    val groups = List(groupCount) { SimulatedRankGroup(shape, seed + it, name = "group $it") }
+    private val ranks = List(shape.ranks * groupCount) { r ->
         SimulatedReplica(
             "rank-$r",
             agentHost(r),
@@ -67,8 +74,8 @@
             executionLog,
             answerFaults,
             seed + r,
-            group,
-            r,
+            groups[r % groupCount],
+            r / groupCount,
         )
     }
 
@@ -182,7 +189,7 @@
         replicaRelays.forEach { it.close() }
         storeRelays.forEach { it.close() }
         (ranks + plain).forEach { it.close() }
-        group.close()
+        groups.forEach { it.close() }
         store.close()
     }
 
@@ -206,6 +213,7 @@
 
         /** Small, so that lists have several pages and some end with a foreign entry. */
         private const val STORE_PAGE_ITEMS = 3
+        private const val MAX_GROUPS = 2L
         private const val MODEL = "model"
         private const val PLAIN = "plain"
         private const val JAR = "target/jujubelead.jar"
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/Main.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/Main.kt
@@ -143,8 +143,8 @@
                 },
                 revokedAt = faults.revokedAt,
                 routeAddedAt = faults.routeAddedAt,
-                mixedPasses = deployment.group.mixedPasses,
-                heldMillis = deployment.group.heldMillis,
+                mixedPasses = deployment.groups.sumOf { it.mixedPasses },
+                heldMillis = deployment.groups.maxOf { it.heldMillis },
                 faultEnd = faultEnd,
                 loopDelays = readLoopDelays(directory),
             )
--- a/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakFaults.kt
+++ b/bench/src/main/kotlin/org/jujubelead/bench/soak/SoakFaults.kt
@@ -197,9 +197,9 @@
     }
 
     private fun delayOrders(millis: Long) = withoutGateway("orders late") {
-        deployment.group.lateOrderProbability = LATE_ORDER_PROBABILITY
+        deployment.groups.forEach { it.lateOrderProbability = LATE_ORDER_PROBABILITY }
         Thread.sleep(millis)
-        deployment.group.lateOrderProbability = 0.0
+        deployment.groups.forEach { it.lateOrderProbability = 0.0 }
     }
 
     /** Lasts until the end of the run, so that a prompt part that was forgotten crashes replicas again. */
--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/MapChange.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/MapChange.kt
@@ -134,7 +134,7 @@
     public fun complete(view: Map<Int, RankObservation>): Boolean {
         val first = view.values.firstOrNull() ?: return false
         return view.size == first.size &&
-            view.values.all { it.epoch == first.epoch && it.open && it.size == first.size }
+            view.values.all { it.group == first.group && it.epoch == first.epoch && it.open && it.size == first.size }
     }
 
     private fun trackView(view: Map<Int, RankObservation>) {
--- a/core/src/main/kotlin/org/jujubelead/core/expertmap/RankObservation.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/expertmap/RankObservation.kt
@@ -3,6 +3,7 @@
  */
 package org.jujubelead.core.expertmap
 
+import org.jujubelead.core.ids.GroupId
 import org.jujubelead.core.time.Timestamp
 
 /** Version of an expert map. Every rank of a group uses the same version in every pass. */
@@ -16,6 +17,7 @@
 public data class ArmedMap(val version: MapVersion, val step: Long)
 
 /**
+ * @property rank number of the rank in its group; each group of a service has a rank with that number.
  * @property size number of ranks in the group.
  * @property epoch epoch of the group, which changes whenever the group re-forms.
  * @property step the last pass that was started.
@@ -26,6 +28,7 @@
  * @property observedAt when the observation arrived at the coordinator.
  */
 public data class RankObservation(
+    val group: GroupId,
     val rank: Int,
     val size: Int,
     val epoch: Long,
--- a/core/src/test/kotlin/org/jujubelead/core/expertmap/RankGroupModel.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/expertmap/RankGroupModel.kt
@@ -1,6 +1,7 @@
 /** Simulates a group of ranks that follows the platform's rules for expert maps; orders can be lost or delayed. */
 package org.jujubelead.core.expertmap
 
+import org.jujubelead.core.ids.GroupId
 import org.jujubelead.core.time.Timestamp
 import kotlin.random.Random
 
@@ -27,6 +28,9 @@
 
     fun observe(rank: Int, now: Timestamp): RankObservation = with(ranks[rank]) {
         RankObservation(
+            group = GroupId(
+                "g",
+            ),
             rank = rank, size = size, epoch = epoch, open = true, step = step, map = map, prepared = prepared,
             armed = armed, heldAt = heldAt, slowdown = 1.0, running = 0, observedAt = now,
         )
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/SlowRankReport.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/SlowRankReport.kt
@@ -9,16 +9,18 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import org.jujubelead.core.ids.GroupId
+import org.jujubelead.core.ids.ServiceId
 import org.jujubelead.core.replica.Endpoint
 
 /**
- * @property service hash of the service that the group serves.
+ * @property group hash of the group and its service, see [hashOf].
  * @property term term of the coordinator; reports of earlier terms are ignored.
  * @property sequence increases with each report of a term.
  * @property paces step time of each slow rank relative to a healthy one.
  */
 public data class SlowRankReport(
-    public val service: Int,
+    public val group: Int,
     public val term: Long,
     public val sequence: Int,
     public val paces: Map<Int, Double>,
@@ -29,7 +31,7 @@
 
     public fun encode(): ByteBuf {
         val out = Unpooled.buffer(HEADER_BYTES + paces.size * ENTRY_BYTES)
-        out.writeByte(FORMAT).writeInt(service).writeLong(term).writeInt(sequence).writeShort(paces.size)
+        out.writeByte(FORMAT).writeInt(group).writeLong(term).writeInt(sequence).writeShort(paces.size)
         for ((hash, pace) in paces) out.writeInt(hash).writeFloat(pace.toFloat())
         return out
     }
@@ -43,17 +45,20 @@
         /** Returns the identifier of a replica in reports. */
         public fun hash(replica: Endpoint): Int = replica.toString().hashCode()
 
+        /** Returns the identifier of [group] of [service] in reports. */
+        public fun hashOf(service: ServiceId, group: GroupId): Int = listOf(service.value, group.value).hashCode()
+
         /** Decodes a datagram; returns null if it is not a complete report of slow ranks. */
         public fun decode(bytes: ByteBuf): SlowRankReport? {
             if (bytes.readableBytes() < HEADER_BYTES || bytes.readByte().toInt() != FORMAT) return null
-            val service = bytes.readInt()
+            val group = bytes.readInt()
             val term = bytes.readLong()
             val sequence = bytes.readInt()
             val size = bytes.readUnsignedShort()
             if (bytes.readableBytes() != size * ENTRY_BYTES) return null
             val paces = HashMap<Int, Double>(size * 2)
             repeat(size) { paces[bytes.readInt()] = bytes.readFloat().toDouble() }
-            return SlowRankReport(service, term, sequence, paces)
+            return SlowRankReport(group, term, sequence, paces)
         }
     }
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/peers/SlowRankTracker.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/peers/SlowRankTracker.kt
@@ -1,5 +1,5 @@
 /**
- * Keeps the latest report of slow ranks of each service. A report that is not repeated expires, since its coordinator
+ * Keeps the latest report of slow ranks of each group. A report that is not repeated expires, since its coordinator
  * can be lost while a rank recovers. Runs on the data plane's event loop.
  */
 package org.jujubelead.gateway.peers
@@ -24,9 +24,9 @@
     }
 
     fun onReport(report: SlowRankReport, now: Timestamp) {
-        val last = received[report.service]?.report
+        val last = received[report.group]?.report
         if (last != null && !report.newerThan(last)) return
-        received[report.service] = Received(report, now)
+        received[report.group] = Received(report, now)
         if (last?.paces.orEmpty() == report.paces) return
         log.log(LogEvent.SLOW_RANKS_CHANGED, "count" to report.paces.size, "term" to report.term)
         onChange()
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/GroupCoordinator.kt
@@ -15,6 +15,7 @@
 import org.jujubelead.core.expertmap.OrderBatch
 import org.jujubelead.core.expertmap.RankObservation
 import org.jujubelead.core.expertmap.batchesOf
+import org.jujubelead.core.ids.GroupId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.route.ExpertLayout
 import org.jujubelead.core.store.Term
@@ -30,6 +31,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
+ * @param group the group; statuses of ranks of other groups are ignored.
  * @param since term of this process as the leader. The versions of its maps are above those of earlier leaders.
  * @param ownRank rank of the local replica.
  * @param reportOwnRank makes the local agent send a status. It tells the pass of the whole group without any use of the
@@ -39,6 +41,7 @@
  */
 internal class GroupCoordinator(
     private val runtime: AgentRuntime,
+    private val group: GroupId,
     private val layout: ExpertLayout,
     private val since: Term,
     private val ownRank: () -> Int,
@@ -97,8 +100,12 @@
         val now = runtime.clock.now()
         val replica = Endpoint.parse(status.replica) ?: return
         val agent = Endpoint.parse(status.agent) ?: return
+        if (status.group != group) {
+            clients.remove(replica)?.close()
+            return
+        }
         val client = clients[replica]?.takeIf { it.agent == agent }
-            ?: RankClient(agent, replica, since.value, runtime, decoders, dispatch)
+            ?: RankClient(group, agent, replica, since.value, runtime, decoders, dispatch)
                 .also { clients.put(replica, it)?.close() }
         client.onReading(status.observed)
         planner.recordChoices(status.firstSet, CompactCounts(status.choiceUnit, status.choices).counts(), now)
@@ -130,11 +137,24 @@
         clients.clear()
     }
 
-    private fun view(now: Timestamp): Map<Int, RankObservation> {
-        val recent = clients.values.mapNotNull { it.observation }.filter { now - it.observedAt < maxAge }
-        return recent.associateBy { it.rank }
+    /** Clients of the group's ranks with recent observations; a rank that has moved has the latest of its clients. */
+    private fun members(now: Timestamp): Map<Int, RankClient> {
+        val latest = HashMap<Int, RankObservation>()
+        val members = LinkedHashMap<Int, RankClient>()
+        for (client in clients.values) {
+            val seen = client.observation?.takeIf { it.group == group && now - it.observedAt < maxAge } ?: continue
+            val known = latest[seen.rank]
+            if (known == null || known.observedAt < seen.observedAt) {
+                latest[seen.rank] = seen
+                members[seen.rank] = client
+            }
+        }
+        return members
     }
 
+    private fun view(now: Timestamp): Map<Int, RankObservation> =
+        buildMap { for ((rank, client) in members(now)) client.observation?.let { put(rank, it) } }
+
     /**
      * Maximum age of the observations that are used. It is longer during a switch: arming and releasing are safe with
      * old observations, and the whole group waits for them.
@@ -174,8 +194,9 @@
     /** Selects the rank at which the group is held: the next one after the own rank whose agent is not silent. */
     private fun holder(size: Int): Int {
         val now = runtime.clock.now()
+        val members = members(now)
         val ranks = (1 until size).map { (ownRank() + it) % size }
-        return ranks.firstOrNull { r -> client(r)?.silent(now, silenceTimeout) == false } ?: ownRank()
+        return ranks.firstOrNull { r -> members[r]?.silent(now, silenceTimeout) == false } ?: ownRank()
     }
 
     private fun evaluate() {
@@ -197,7 +218,7 @@
 
             !change.idle || stopped -> Unit
 
-            change.current == null -> heldExperts.read(view, ::client, { view(runtime.clock.now()) }) { map ->
+            change.current == null -> heldExperts.read(view, members(now)::get, { view(runtime.clock.now()) }) { map ->
                 map?.let(change::updateCurrent)
             }
         }
@@ -209,8 +230,8 @@
      */
     private fun sendAll(orders: Map<Int, MapOrder>, now: Timestamp) {
         val order = orders.values.firstOrNull() ?: return
-        val byRank = clients.values.associateBy { it.observation?.rank }
-        val due = orders.keys.mapNotNull { byRank[it] }.filter { it.isDue(order, now) }
+        val members = members(now)
+        val due = orders.keys.mapNotNull { members[it] }.filter { it.isDue(order, now) }
         val (silent, reachable) = due.partition { it.silent(now, silenceTimeout) }
         val batches = batchesOf(reachable) + silent.map { OrderBatch(it, relayedTo = emptyList()) }
         for (batch in batches) {
@@ -235,8 +256,6 @@
         )
     }
 
-    private fun client(rank: Int): RankClient? = clients.values.firstOrNull { it.observation?.rank == rank }
-
     private fun confirmStillLeader() {
         if (confirmation.at(runtime.clock.now())) return
         confirmation.begin(runtime.clock.now())
@@ -271,7 +290,10 @@
     private fun reportSlowRanks() {
         if (ended || stopped) return
         val slow = HashMap<Endpoint, Double>()
-        for ((replica, client) in clients) client.observation?.slowdown?.let { if (it > 1) slow[replica] = it }
+        for ((replica, client) in clients) {
+            val seen = client.observation?.takeIf { it.group == group } ?: continue
+            if (seen.slowdown > 1) slow[replica] = seen.slowdown
+        }
         reporter.report(slow)
     }
 
@@ -285,6 +307,7 @@
         if (ended) return
         runtime.log.log(LogEvent.COORDINATOR_TRAFFIC, *traffic.drain().toTypedArray())
         val now = runtime.clock.now()
+        if (change.idle) closeUnused(now)
         val view = view(now)
         if (!change.complete(view)) return
         val step = view.values.maxOf { it.step }
@@ -307,6 +330,15 @@
         lastLoggedAt = now
     }
 
+    /** Closes the clients of replicas that have left the group: they would be read in vain. */
+    private fun closeUnused(now: Timestamp) {
+        clients.values.removeIf { client ->
+            val unused = client.observation?.let { it.group != group || now - it.observedAt > MAX_UNUSED_TIME } ?: false
+            if (unused) client.close()
+            unused
+        }
+    }
+
     private fun logPhase() {
         val phase = change.phase
         if (phase::class == lastPhase::class) return
@@ -329,6 +361,9 @@
     }
 
     private companion object {
+        /** Longer than a restart of a replica and its instance. */
+        val MAX_UNUSED_TIME: Duration = 30.seconds
+
         /** Longer than the timeout of the call to the store. */
         val MAX_CONFIRMATION_TIME: Duration = 3.seconds
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/LocalRank.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/LocalRank.kt
@@ -33,7 +33,7 @@
         val decoded = decoders.rankReport(report, readAt).onFailure {
             runtime.log.log(LogEvent.RANK_UNREADABLE, "replica" to replica.endpoint, "detail" to it.detail)
         }
-        return decoded.get()?.let { RankReading(readAt.micros, it.observation) }
+        return decoded.get()?.let { RankReading(readAt.micros, it) }
     }
 
     /**
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/OrderRelay.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/OrderRelay.kt
@@ -25,7 +25,7 @@
         val complete = order.prepare?.takeIf { map != null }?.let { p ->
             lazy {
                 val prepare = PrepareOrder(p.version, p.epoch, map = encodeMap(map.orEmpty()))
-                encode(RankOrder(order.term, body = null, prepare = prepare, expected = order.expected))
+                encode(RankOrder(order.group, order.term, body = null, prepare = prepare, expected = order.expected))
             }
         }
         val results = arrayOfNulls<OrderResult>(order.relayTo.size)
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgent.kt
@@ -1,8 +1,9 @@
 /**
- * Agent of one rank: sends statuses of the local rank to the coordinator of its group, and carries out the
- * coordinator's orders.
+ * Agent of one rank: finds out which group the rank belongs to, sends its statuses to the coordinator of that group,
+ * and carries out the coordinator's orders.
  *
- * It refuses orders of earlier terms than the highest one that it has followed. Runs on the agent's event loop.
+ * It refuses orders for other groups and orders of earlier terms than the highest one that it has followed. Runs on the
+ * agent's event loop.
  */
 package org.jujubelead.gateway.rank
 
@@ -12,6 +13,8 @@
 import org.jujubelead.core.expertmap.GroupMap
 import org.jujubelead.core.expertmap.MapOrder
 import org.jujubelead.core.expertmap.MapVersion
+import org.jujubelead.core.expertmap.RankObservation
+import org.jujubelead.core.ids.GroupId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.store.Term
 import org.jujubelead.core.time.Timestamp
@@ -26,25 +29,33 @@
 import org.jujubelead.platform.wire.encodeOrder
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * @param own address of this agent.
  * @param replica client of the local replica.
+ * @param onGroupChange called with the group that the rank belongs to from now on; null if it has belonged to none for
+ * a while.
  */
 internal class RankAgent(
     private val own: Endpoint,
     private val replica: RpcClient,
     private val runtime: AgentRuntime,
+    private val onGroupChange: (GroupId?) -> Unit = {},
 ) {
     /** Null until the replica belongs to a group. */
     var rank: Int? = null
         private set
+    private var group: GroupId? = null
+
+    /** When the replica first gave no readable report after one that named [group]; null if the last one did. */
+    private var groupUnknownSince: Timestamp? = null
 
     /** Until then the coordinator counts as alive. */
     var coordinatorAliveUntil = Timestamp.ZERO
         private set
 
-    /** Highest coordinator term that this agent has followed or accepted an order of. */
+    /** Highest term of a coordinator of [group] that this agent has followed or accepted an order of. */
     private var term = 0L
 
     /**
@@ -71,14 +82,6 @@
         runtime.loop.scheduleRepeating(TICK_MILLIS, "rank status", ::tick)
     }
 
-    /** Reads the own rank and then calls [done]. */
-    fun readRank(done: () -> Unit) {
-        localRank.read { reading ->
-            if (reading != null) rank = reading.observation.rank
-            done()
-        }
-    }
-
     /** Follows the coordinator at [leader], which leads since term [since]; null while there is none. */
     fun follow(leader: Endpoint?, since: Term?) {
         if (since != null) {
@@ -92,8 +95,41 @@
         coordinatorAliveUntil = runtime.clock.now() + COORDINATOR_TIMEOUT
     }
 
+    /** Reads the rank, and passes a reading of it to [done] if it belongs to a group that is known already. */
+    private fun readRank(done: (RankReading) -> Unit) {
+        localRank.read { reading ->
+            val before = group
+            if (reading == null) onNoReading() else onReading(reading.observation)
+            if (reading != null && group == before) done(reading)
+        }
+    }
+
+    private fun onReading(seen: RankObservation) {
+        groupUnknownSince = null
+        rank = seen.rank
+        if (seen.group != group) joinGroup(seen.group)
+    }
+
+    private fun onNoReading() {
+        val now = runtime.clock.now()
+        val since = groupUnknownSince ?: now
+        groupUnknownSince = since
+        if (group != null && now - since > MAX_TIME_WITHOUT_GROUP) joinGroup(null)
+    }
+
+    /** Terms of coordinators of different groups cannot be compared. */
+    private fun joinGroup(next: GroupId?) {
+        runtime.log.log(LogEvent.GROUP_CHANGED, "before" to group, "now" to next, "rank" to rank)
+        group = next
+        follow(null, null)
+        term = 0
+        termKnown = false
+        onGroupChange(next)
+    }
+
     private fun tick() {
         val now = runtime.clock.now()
+        if (coordinator == null) return findGroup(now)
         val interval = if (now < effectDueUntil) reply.changeInterval else reply.interval
         val due = reportedAt + interval.milliseconds
         when {
@@ -109,6 +145,13 @@
         }
     }
 
+    /** Reads the rank although nobody needs its status, as its group may have become known or may have changed. */
+    private fun findGroup(now: Timestamp) {
+        if (now < reportedAt + GROUP_READ_INTERVAL) return
+        reportedAt = now
+        readRank {}
+    }
+
     private fun readCounts(done: (List<Int>) -> Unit) {
         replica.get(RankEndpoints.EXPERT_COUNTS_PATH) { counted ->
             done(counted.successBody()?.let { decodeExpertCounts(it).get() }.orEmpty())
@@ -121,12 +164,15 @@
         // A status of a new term guarantees that this agent has no order of an earlier term in flight.
         if (ordersInFlight > 0) return
         val following = term
-        localRank.read { reading ->
-            if (reading == null) return@read
-            rank = reading.observation.rank
+        readRank { reading ->
+            if (to !== coordinator) return@readRank
             val now = runtime.clock.now()
             // Statuses in quick succession leave out the counts.
-            if (now < choicesDueAt) return@read sendStatus(to, following, reading, ChoiceSampler.Sample(0, emptyList()))
+            if (now <
+                choicesDueAt
+            ) {
+                return@readRank sendStatus(to, following, reading, ChoiceSampler.Sample(0, emptyList()))
+            }
             choicesDueAt = now + reply.interval.milliseconds * CHOICES_INTERVAL_FRACTION
             readCounts { counts ->
                 sampleBegunAt = runtime.clock.now()
@@ -138,6 +184,7 @@
     private fun sendStatus(to: RpcClient, following: Long, reading: RankReading, sample: ChoiceSampler.Sample) {
         val compact = CompactCounts.of(sample.choices)
         val status = RankStatus(
+            group = group ?: return,
             term = following,
             agent = own.toString(),
             replica = replica.endpoint.toString(),
@@ -157,15 +204,20 @@
     /** Carries out the order in [body] and relays it; answers with the results of all agents. */
     fun handleOrder(body: String, answer: (TextResponse) -> Unit) {
         val order = runtime.decode(RankOrder.serializer(), body) ?: return answer(UNREADABLE)
-        if (order.term < term || !termKnown) {
+        if (order.group != group || order.term < term || !termKnown) {
             runtime.log.log(
                 LogEvent.ORDER_REFUSED,
+                "group" to order.group,
+                "knownGroup" to group,
                 "term" to order.term,
                 "known" to term,
                 "order" to (order.body ?: "prepare ${order.prepare?.version}"),
             )
             return answer(
-                TextResponse(STATUS_REFUSED, "order of an earlier term, or the current term is not known yet\n"),
+                TextResponse(
+                    STATUS_REFUSED,
+                    "order for another group or of an earlier term, or the current term is not known yet\n",
+                ),
             )
         }
         val map = order.prepare?.let { mapCache.resolve(it) }
@@ -187,7 +239,7 @@
         ordersInFlight++
         localRank.send(forReplica, order.expected, onAnswer = { ordersInFlight-- }) { result ->
             effectDueUntil = if (lacksEffect(result, order)) runtime.clock.now() + MAX_EFFECT_TIME else Timestamp.ZERO
-            own = result
+            own = result.copy(observed = result.observed?.takeIf { it.observation.group == order.group })
             answerWhenComplete()
         }
     }
@@ -212,6 +264,10 @@
         /** A leader that has not replied to a status for this time may have lost its lease. */
         val COORDINATOR_TIMEOUT: Duration = 1_200.milliseconds
 
+        /** Longer than a crashed rank or a cut connection takes to come back. */
+        val MAX_TIME_WITHOUT_GROUP: Duration = 10.seconds
+        val GROUP_READ_INTERVAL: Duration = 500.milliseconds
+
         /** Used until the coordinator has set the interval. */
         const val INITIAL_REPORT_MILLIS = 500L
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankClient.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankClient.kt
@@ -14,6 +14,7 @@
 import com.github.michaelbull.result.getOrElse
 import org.jujubelead.core.expertmap.MapOrder
 import org.jujubelead.core.expertmap.RankObservation
+import org.jujubelead.core.ids.GroupId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.CallFailure
@@ -30,8 +31,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** @param term term of the coordinator. */
+/**
+ * @param group group of the coordinator. Orders are sent while the rank belongs to it.
+ * @param term term of the coordinator.
+ */
 internal class RankClient(
+    private val group: GroupId,
     val agent: Endpoint,
     private val replica: Endpoint,
     private val term: Long,
@@ -79,7 +84,7 @@
         }
     }
 
-    /** Handles a reading from the agent. Readings older than the latest one are dropped. */
+    /** Handles a reading of the group's rank from the agent. Readings older than the latest one are dropped. */
     fun onReading(reading: RankReading) {
         val now = runtime.clock.now()
         lastAgentContactAt = now
@@ -88,7 +93,7 @@
         // The agent's clock restarts with its instance, so readings are compared only within a short time.
         val comparable = last != null && now - last.observedAt < MAX_COMPARABLE_AGE
         if (comparable && reading.readAtMicros < readAtMicros) return
-        observation = reading.observation.copy(observedAt = now)
+        observation = reading.observation.copy(group = group, observedAt = now)
         readAtMicros = reading.readAtMicros
     }
 
@@ -97,7 +102,7 @@
             runtime.log.log(LogEvent.RANK_UNREADABLE, "replica" to replica, "detail" to it.detail)
             return false
         }
-        observation = read.observation
+        observation = read
         return true
     }
 
@@ -128,7 +133,7 @@
     /** True unless an order is in flight or [order] was accepted recently and may not be visible yet. */
     fun isDue(order: MapOrder, now: Timestamp): Boolean {
         val pendingEffect = order == accepted && now - acceptedAt < REPEAT_DELAY
-        return observation != null && !orderInFlight.at(now) && !pendingEffect && now >= nextSendAt
+        return observation?.group == group && !orderInFlight.at(now) && !pendingEffect && now >= nextSendAt
     }
 
     private fun sendThroughAgent(
@@ -141,6 +146,7 @@
         val timeout = dispatch.timeoutOf(order)
         val isMap = order is MapOrder.Prepare
         val forAgent = RankOrder(
+            group = group,
             term = term,
             body = if (isMap) null else encodeOrder(order, epoch),
             prepare = (order as? MapOrder.Prepare)?.let { dispatch.prepareOrder(it, epoch, complete = needsFullMap) },
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankReading.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankReading.kt
@@ -18,6 +18,7 @@
 import org.jujubelead.core.expertmap.ArmedMap
 import org.jujubelead.core.expertmap.MapVersion
 import org.jujubelead.core.expertmap.RankObservation
+import org.jujubelead.core.ids.GroupId
 import org.jujubelead.core.time.Timestamp
 import kotlin.math.roundToLong
 
@@ -25,7 +26,8 @@
 
 /**
  * @property readAtMicros when the report was requested, on the agent's monotonic clock.
- * @property observation what the report says; its time is the reader's own, and a receiver replaces it.
+ * @property observation what the report says. Its time and its group are the reader's own and are not sent; a receiver
+ * replaces them.
  */
 @Serializable(with = RankReadingSerializer::class)
 internal class RankReading(val readAtMicros: Long, val observation: RankObservation)
@@ -63,6 +65,7 @@
         RankReading(
             readAtMicros = signed(),
             observation = RankObservation(
+                group = UNKNOWN_GROUP,
                 rank = signed().toInt(),
                 size = signed().toInt(),
                 epoch = signed(),
@@ -79,6 +82,9 @@
         )
     }
 
+    /** No group has this name, so that an observation whose group was not replaced belongs to none. */
+    private val UNKNOWN_GROUP = GroupId("")
+
     private fun armed(version: Long?, step: Long?): ArmedMap? =
         if (version == null || step == null) null else ArmedMap(MapVersion(version), step)
 }
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankStatus.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankStatus.kt
@@ -7,10 +7,12 @@
 import org.jujubelead.core.expertmap.MapOrder
 import org.jujubelead.core.expertmap.RankObservation
 import org.jujubelead.core.expertmap.initialMap
+import org.jujubelead.core.ids.GroupId
 
 /**
  * Status of a rank, sent by its agent to the coordinator.
  *
+ * @property group group of the rank.
  * @property term term of the coordinator that the agent follows. The agent refuses orders of earlier terms from then
  * on.
  * @property agent address of the agent.
@@ -22,6 +24,7 @@
  */
 @Serializable
 internal data class RankStatus(
+    val group: GroupId,
     val term: Long,
     val agent: String,
     val replica: String,
@@ -41,12 +44,12 @@
 @Serializable
 internal data class StatusReply(val sets: Int, val interval: Long, val changeInterval: Long)
 
-/** Announces that the agent at [leader] has coordinated the group since [term]. */
+/** Announces that the agent at [leader] has coordinated [group] since [term]. */
 @Serializable
-internal data class LeaderAnnouncement(val leader: String, val term: Long)
+internal data class LeaderAnnouncement(val group: GroupId, val leader: String, val term: Long)
 
 /**
- * An order of the coordinator of [term].
+ * An order of the coordinator of [group] in [term]. Agents of ranks of other groups refuse it.
  *
  * @property body request body for the replica; null if the agent creates it from [prepare].
  * @property expected what the rank's report shows once the order has taken effect.
@@ -55,6 +58,7 @@
  */
 @Serializable
 internal data class RankOrder(
+    val group: GroupId,
     val term: Long,
     val body: String?,
     val prepare: PrepareOrder? = null,
@@ -121,7 +125,7 @@
  * Result of an order that an agent forwarded.
  *
  * @property status status of the replica's response; null if there was none and the order may still take effect.
- * @property observed reading of the rank after the order.
+ * @property observed reading of the rank after the order; null if there was none or the rank is in another group.
  * @property relayed results of the agents to which the order was relayed, in the order in which it names them; null for
  * an agent that did not answer.
  */
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/SlowRankReporter.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/SlowRankReporter.kt
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
+import org.jujubelead.core.ids.GroupId
 import org.jujubelead.core.ids.ServiceId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.gateway.peers.GatewayListPoller
@@ -31,7 +32,8 @@
 /** @param host own address, from which reports are sent. */
 internal class SlowRankReporter(
     host: String,
-    private val service: ServiceId,
+    service: ServiceId,
+    group: GroupId,
     private val term: Long,
     store: StoreClient,
     loop: EventLoop,
@@ -43,6 +45,7 @@
             }
         })
         .bind(host, 0).channel()
+    private val groupHash = SlowRankReport.hashOf(service, group)
     private var gateways: List<Peer> = emptyList()
     private val list = GatewayListPoller(store, loop) { gateways = it }.apply { start() }
     private var sequence = 0
@@ -54,7 +57,7 @@
         last = paces
         if (paces.isEmpty() && repeats-- <= 0) return
         val report = SlowRankReport(
-            service = service.hashCode(),
+            group = groupHash,
             term = term,
             sequence = ++sequence,
             paces = paces.mapKeys { SlowRankReport.hash(it.key) },
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/store/LeaderElection.kt
@@ -83,6 +83,12 @@
 
     public fun start(): Unit = steps.start(INITIAL_DELAY)
 
+    /** Takes no part any more. A lease that is held ends by itself. */
+    public fun stop() {
+        steps.stop()
+        leadership = Leadership.Unknown
+    }
+
     /** Checks whether this process is still the leader at a moment after the call. */
     public fun confirmLeadership(done: (Boolean) -> Unit) {
         val own = ownRevision
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/telemetry/LogEvent.kt
@@ -49,6 +49,7 @@
     ELECTION_LOST("JJ-6310"),
     ORDER_NOT_RELAYED("JJ-6311"),
     COORDINATOR_TRAFFIC("JJ-6312"),
+    GROUP_CHANGED("JJ-6313"),
     DEFECT("JJ-6901"),
     LINES_DROPPED("JJ-6902"),
     LOOP_DELAYED("JJ-6903", essential = false),
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/peers/SlowRankReportTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/peers/SlowRankReportTest.kt
@@ -1,6 +1,8 @@
 package org.jujubelead.gateway.peers
 
 import io.netty.buffer.Unpooled
+import org.jujubelead.core.ids.GroupId
+import org.jujubelead.core.ids.ServiceId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.telemetry.EventLog
@@ -11,13 +13,16 @@
 import kotlin.time.Duration.Companion.seconds
 
 class SlowRankReportTest {
+    private val service = ServiceId("s")
+    private val group = SlowRankReport.hashOf(service, GroupId("g"))
+    private val otherGroup = SlowRankReport.hashOf(service, GroupId("other"))
     private val slow = Endpoint("10.0.0.1", 80)
     private val healthy = Endpoint("10.0.0.2", 80)
     private var changes = 0
     private val tracker = SlowRankTracker(EventLog()) { changes++ }
 
     private fun report(term: Long = 1, sequence: Int = 1, vararg paces: Pair<Endpoint, Double>) =
-        SlowRankReport(service = 7, term, sequence, paces.associate { SlowRankReport.hash(it.first) to it.second })
+        SlowRankReport(group, term, sequence, paces.associate { SlowRankReport.hash(it.first) to it.second })
 
     /** Guards against step times that change in encoding and decoding. */
     @Test
@@ -51,6 +56,16 @@
         expectThat(changes).isEqualTo(1)
     }
 
+    /** Guards against the slow ranks of one group that are forgotten when the coordinator of another one reports. */
+    @Test
+    fun `each group of a service has a report of its own`() {
+        tracker.onReport(report(term = 1, sequence = 1, slow to 3.5), Timestamp.ZERO)
+        tracker.onReport(SlowRankReport(otherGroup, term = 9, sequence = 1, paces = emptyMap()), Timestamp.ZERO)
+        expectThat(tracker.relativeStepTime(slow)).isEqualTo(3.5)
+        tracker.onReport(report(term = 1, sequence = 2), Timestamp.ZERO)
+        expectThat(tracker.relativeStepTime(slow)).isEqualTo(1.0)
+    }
+
     /** Guards against a rank that receives no requests after its coordinator was lost. */
     @Test
     fun `a report that is not repeated expires`() {
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/CompactEncodingTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/CompactEncodingTest.kt
@@ -4,6 +4,7 @@
 import org.jujubelead.core.expertmap.MapVersion
 import org.jujubelead.core.expertmap.RankObservation
 import org.jujubelead.core.expertmap.initialMap
+import org.jujubelead.core.ids.GroupId
 import org.jujubelead.core.placement.ExpertPlacement
 import org.jujubelead.core.route.ExpertLayout
 import org.jujubelead.core.time.Timestamp
@@ -55,6 +56,9 @@
     @Test
     fun `a reading is decoded as it was encoded`() {
         val idle = RankObservation(
+            group = GroupId(
+                "",
+            ),
             rank = 128, size = 129, epoch = 3, open = true, step = -1, map = MapVersion(0), prepared = null,
             armed = null, heldAt = null, slowdown = 2.25, running = 4, observedAt = Timestamp.ZERO,
         )
@@ -79,6 +83,9 @@
     @Test
     fun `a result of an order fits into a hundred bytes`() {
         val seen = RankObservation(
+            group = GroupId(
+                "g",
+            ),
             rank = 128, size = 129, epoch = 3, open = true, step = 10_000, map = MapVersion(2_300_010_000),
             prepared = MapVersion(2_300_010_001), armed = ArmedMap(MapVersion(2_300_010_001), 10_004),
             heldAt = null, slowdown = 1.0, running = 4, observedAt = Timestamp.ZERO,
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/GroupCoordinatorTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/GroupCoordinatorTest.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Result
 import io.netty.channel.nio.NioEventLoopGroup
+import org.jujubelead.core.ids.GroupId
 import org.jujubelead.core.ids.ServiceId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.route.ExpertLayout
@@ -24,6 +25,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
@@ -50,6 +52,10 @@
         /** True for an agent that has just been restarted: it knows no map. */
         var forgetful = false
 
+        /** Group that the rank belongs to. */
+        var memberOf = GROUP
+        private val firstReplicaPort get() = if (memberOf == GROUP) 1 else 1 + RANKS
+
         /** Version of the map whose experts the rank names. */
         @Volatile
         var heldVersion = 0
@@ -82,10 +88,11 @@
 
         fun reading() = readingOf(report(), ProcessClock.now().micros)
 
-        fun status(choices: CompactCounts) = RankStatus(
+        fun status(choices: CompactCounts, replicaPort: Int = firstReplicaPort + rank) = RankStatus(
+            group = memberOf,
             term = 1,
             agent = address,
-            replica = "127.0.0.1:${rank + 1}",
+            replica = "127.0.0.1:$replicaPort",
             observed = reading(),
             firstSet = 0,
             choices = choices.text,
@@ -98,6 +105,7 @@
 
     private val coordinator = GroupCoordinator(
         runtime = runtime,
+        group = GROUP,
         layout = ExpertLayout(
             sets = 1,
             experts = 2 * RANKS,
@@ -112,6 +120,7 @@
         reporter = SlowRankReporter(
             "127.0.0.1",
             ServiceId("s"),
+            GROUP,
             1,
             StoreClient(HttpClient(Endpoint("127.0.0.1", 1), loop, 1.seconds), EventLog()),
             loop,
@@ -185,7 +194,34 @@
         agents.forEach { expectThat(it.prepared).isNotNull() }
     }
 
+    /** Guards against a map for ranks of two groups, in both of which each rank is numbered from 0. */
+    @Test
+    fun `ranks of another group are neither counted nor ordered`() {
+        val agents = List(RANKS) { Agent(it) }
+        val others = List(RANKS) { Agent(it).apply { memberOf = GroupId("other") } }
+        agents[3].memberOf = GroupId("other")
+        reportUntilPrepared(agents + others, seconds = 2)
+        expectThat(received.size).isEqualTo(0)
+        agents[3].memberOf = GROUP
+        reportUntilPrepared(agents + others, seconds = 3)
+        expectThat(agents.count { it.prepared == null }).isEqualTo(0)
+        expectThat(others.count { it.prepared != null }).isEqualTo(0)
+    }
+
+    /** Guards against orders to the former replica of a rank that has moved, while the new one waits for them. */
+    @Test
+    fun `orders go to the replica that has reported the rank last`() {
+        val former = Agent(5)
+        val agents = List(RANKS) { Agent(it) }
+        val counts = CompactCounts.of(List(2 * RANKS) { 250 / (it + 1) + 1 })
+        loop.submit { coordinator.onStatus(former.status(counts, replicaPort = 9_000)) }.sync()
+        reportUntilPrepared(agents)
+        expectThat(agents.count { it.prepared == null }).isEqualTo(0)
+        expectThat(former.prepared).isNull()
+    }
+
     private companion object {
         const val RANKS = 40
+        val GROUP = GroupId("g")
     }
 }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/MapChangeAtScaleTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/MapChangeAtScaleTest.kt
@@ -1,5 +1,6 @@
 package org.jujubelead.gateway.rank
 
+import org.jujubelead.core.ids.GroupId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.route.ExpertLayout
 import org.jujubelead.core.store.Term
@@ -40,6 +41,7 @@
         private val first = network.instance("i0")
         private val coordinator = GroupCoordinator(
             runtime = runtimeOf(first),
+            group = GroupId("g"),
             layout = layout,
             since = Term(1),
             ownRank = { 0 },
@@ -75,6 +77,7 @@
                 own = Endpoint(instance.host, AGENT_PORT),
                 replica = instance.clients.connect(replica, 200.milliseconds),
                 runtime = runtimeOf(instance),
+                onGroupChange = { follow(rank) },
             )
             instance.serve(
                 AGENT_PORT,
@@ -91,11 +94,13 @@
             return agent
         }
 
+        private fun follow(rank: Int) {
+            agents[rank].follow(Endpoint(first.host, AGENT_PORT), Term(1))
+            agents[rank].report()
+        }
+
         fun run() {
-            for (agent in agents) {
-                agent.follow(Endpoint(first.host, AGENT_PORT), Term(1))
-                agent.start()
-            }
+            agents.forEach { it.start() }
             group.start(firstShift = 3.seconds, interval = SHIFT_INTERVAL)
             loop.run(PLAY_TIME)
         }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/RankClientTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/RankClientTest.kt
@@ -5,6 +5,7 @@
 import org.jujubelead.core.expertmap.ArmedMap
 import org.jujubelead.core.expertmap.MapOrder
 import org.jujubelead.core.expertmap.MapVersion
+import org.jujubelead.core.ids.GroupId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.gateway.net.TextResponse
 import org.jujubelead.gateway.net.listen
@@ -55,6 +56,7 @@
     )
 
     private val client = RankClient(
+        GroupId("g"),
         endpoint(agent),
         endpoint(replica),
         term = 1,
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/RankLoopsTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/RankLoopsTest.kt
@@ -4,6 +4,8 @@
 import io.netty.channel.Channel
 import io.netty.channel.nio.NioEventLoopGroup
 import org.jujubelead.core.expertmap.MapOrder
+import org.jujubelead.core.expertmap.RankObservation
+import org.jujubelead.core.ids.GroupId
 import org.jujubelead.core.replica.Endpoint
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.gateway.net.CallHandler
@@ -15,7 +17,6 @@
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.platform.wire.DecodeError
 import org.jujubelead.platform.wire.HeldExperts
-import org.jujubelead.platform.wire.RankReport
 import org.jujubelead.platform.wire.WireDecoders
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
@@ -39,7 +40,7 @@
     private val failing = AtomicBoolean()
 
     private val decoders = object : WireDecoders by WireDecoders {
-        override fun rankReport(body: String, sentAt: Timestamp): Result<RankReport, DecodeError> =
+        override fun rankReport(body: String, sentAt: Timestamp): Result<RankObservation, DecodeError> =
             if (failing.get()) throw LinkageError("report") else WireDecoders.rankReport(body, sentAt)
 
         override fun heldExperts(body: String): Result<HeldExperts, DecodeError> =
@@ -61,7 +62,7 @@
     /** Creates the client of a rank whose agent answers orders with [result]. */
     private fun clientOf(result: String): RankClient {
         val agent = serve(mapOf(RankPaths.ORDER to { _, answer -> answer(TextResponse(200, result)) }))
-        return RankClient(agent, replica, term = 1, AgentRuntime(loop, EventLog()), decoders).apply {
+        return RankClient(GroupId("g"), agent, replica, term = 1, AgentRuntime(loop, EventLog()), decoders).apply {
             onReading(readingOf(report, readAtMicros = 1))
         }
     }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/rank/Readings.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/rank/Readings.kt
@@ -6,4 +6,4 @@
 
 /** Returns the reading that an agent makes of [report]. */
 internal fun readingOf(report: String, readAtMicros: Long): RankReading =
-    RankReading(readAtMicros, checkNotNull(decodeRankReport(report, Timestamp.ZERO).get()).observation)
+    RankReading(readAtMicros, checkNotNull(decodeRankReport(report, Timestamp.ZERO).get()))
