Reject responses whose status no protocol allows

Cause: the check of a head took any three digits for a status, and everything below 200 for an interim response, after which the final one was awaited.

Change: a status outside of 100 to 599 is no response. 101, an interim response that announces content or has the replica's seal, and a 204 that announces content are none either. The attempt ends as malformed at once: a repeatable request goes to another replica, the caller of any other one gets 502.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Attempt.kt
@@ -215,6 +215,8 @@
     override fun idToSkip(response: HttpResponse): String? =
         if (repeatable) null else response.headers().get(Headers.REQUEST_ID)
 
+    override val finalHeader: String get() = Headers.REPLICA_SEAL
+
     override fun onHead(response: HttpResponse) {
         val status = response.status()
         val headers = response.headers()
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpConnection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpConnection.kt
@@ -19,6 +19,8 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
@@ -55,6 +57,9 @@
     /** Returns the id that [response] echoes, if a late response to an earlier request is to be skipped. */
     public fun idToSkip(response: HttpResponse): String? = null
 
+    /** Header of final responses only; null if there is none. */
+    public val finalHeader: String? get() = null
+
     public fun onHead(response: HttpResponse)
 
     public fun onContent(bytes: ByteBuf)
@@ -182,10 +187,7 @@
         val to = receiver ?: return
         if (msg is HttpResponse) {
             if (msg.decoderResult().isFailure) return fail(TransportFailure.MALFORMED)
-            if (msg.status().code() < MIN_FINAL_STATUS) {
-                if (++interimResponses > MAX_INTERIM_RESPONSES) fail(TransportFailure.MALFORMED)
-                return
-            }
+            if (msg.status().codeClass() == HttpStatusClass.INFORMATIONAL) return handleInterim(msg, to)
             if (isLateCopy(msg, to)) return
             responseStarted = true
             unframed = decoder.isUnframed(msg)
@@ -202,6 +204,13 @@
         }
     }
 
+    /** Skips [response], unless it cannot precede a final one: the peer may regard it as final itself. */
+    private fun handleInterim(response: HttpResponse, to: ResponseHandler) {
+        val isFinal = to.finalHeader?.let { response.headers().contains(it) } ?: false
+        val valid = response.status() != HttpResponseStatus.SWITCHING_PROTOCOLS && !isFinal
+        if (!valid || ++interimResponses > MAX_INTERIM_RESPONSES) fail(TransportFailure.MALFORMED)
+    }
+
     /**
      * Returns whether [response] is a second copy of an earlier one, which ends before the awaited response begins. One
      * without a length has no such end.
@@ -290,8 +299,6 @@
     }
 
     private companion object {
-        const val MIN_FINAL_STATUS = 200
-
         /** A peer that sends more interim responses to a request than this is not expected to send a final one. */
         const val MAX_INTERIM_RESPONSES = 8
 
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/ResponseHeadCheck.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/ResponseHeadCheck.kt
@@ -3,15 +3,18 @@
  *
  * A parser joins a part of another response with the head behind it, and is lenient towards odd lines: the status and
  * the first headers would be those of the other response. Such a head has a second status line, as a line of its own or
- * at the end of one, or a line that is no header.
+ * at the end of one, or a line that is no header. A status outside of the five classes is none, and
+ * a response that has no content cannot announce any.
  */
 package org.jujubelead.gateway.net
 
 import io.netty.buffer.ByteBuf
 
 internal object ResponseHeadCheck {
-    private val statusLine = Regex("""HTTP/1\.[01] \d{3}( [^\r]*)?""")
+    private val statusLine = Regex("""HTTP/1\.[01] [1-5]\d{2}( [^\r]*)?""")
     private val nestedStatusLine = Regex("""HTTP/1\.[01]\s+\d{3}(\s|$)""", RegexOption.IGNORE_CASE)
+    private val contentlessStatusLine = Regex("""^HTTP/1\.[01] (1\d{2}|204)\b""")
+    private val bodyLine = Regex("""transfer-encoding:.*|content-length:\s*0*[1-9].*""", RegexOption.IGNORE_CASE)
     private val headerLine = Regex("""[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\r]*""")
 
     /** Returns the index behind the empty line that ends the head in [bytes]; -1 if it has not arrived. */
@@ -31,6 +34,7 @@
         val start = bytes.readerIndex()
         val lines = bytes.toString(start, end - start, Charsets.ISO_8859_1).removeSuffix(HEAD_END).split(LINE_END)
         val first = lines.first()
+        if (contentlessStatusLine.containsMatchIn(first) && lines.any(bodyLine::matches)) return false
         return statusLine.matches(first) && !nestedStatusLine.containsMatchIn(first.drop(1)) &&
             lines.drop(1).all { headerLine.matches(it) && !nestedStatusLine.containsMatchIn(it) }
     }
