Keep a request that has crashed a replica from the others

Cause: evidence was kept against the parts that a prompt shares with others. Those were answered in sound requests at the same time and rightly let go.

Ruled out: repeats by the gateway (the two seen met a group that was down), and other faults (all crashes had a request with a head and no event).

Change: the last part is evidence of its own, beside the shared ones, and is quarantined after one crash between head and first event. Records of own parts are limited apart from the others.

Tests: PromptPartCrashTest, a new case failed before (two replicas reached of one); PromptQuarantineTest has three new ones.

--- a/core/src/main/kotlin/org/jujubelead/core/quarantine/PartRecord.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/quarantine/PartRecord.kt
@@ -12,8 +12,12 @@
 import org.jujubelead.core.ids.ServiceId
 import org.jujubelead.core.replica.Incarnation
 
-/** A part of a prompt, as processed by the replicas of one service. */
-public data class PartKey(val service: ServiceId, val part: PromptPartId)
+/**
+ * A part of a prompt, as processed by the replicas of one service.
+ *
+ * @property own true for the last part of a prompt, which belongs to one request or session.
+ */
+public data class PartKey(val service: ServiceId, val part: PromptPartId, val own: Boolean = false)
 
 /** How strongly one crash speaks against a part. */
 public enum class CrashSign(public val weight: Int) {
@@ -81,8 +85,16 @@
     }
 }
 
-/** The [count] records that matter most: quarantined ones first, then suspected ones, then the latest. */
+/**
+ * The [count] records of shared parts and half as many of own parts that matter most: quarantined ones first, then
+ * suspected ones, then the latest. Each prompt has an own part, so that these would displace the others.
+ */
 public fun Map<PartKey, PartRecord>.mostImportant(count: Int): Map<PartKey, PartRecord> {
+    if (size <= count / 2) return this
+    return filterKeys { !it.own }.takeImportant(count) + filterKeys { it.own }.takeImportant(count / 2)
+}
+
+private fun Map<PartKey, PartRecord>.takeImportant(count: Int): Map<PartKey, PartRecord> {
     if (size <= count) return this
     val order = compareByDescending<PartRecord> { it.quarantined }
         .thenByDescending { it.suspected }
--- a/core/src/main/kotlin/org/jujubelead/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/org/jujubelead/core/quarantine/PromptQuarantine.kt
@@ -5,6 +5,8 @@
  * the callers of all others, and sending it again multiplies the crashes. Requests that were about to be answered when
  * their replica crashed put their shared parts under suspicion; an answer to any request with a part clears it. The
  * deepest part that has never been answered is the most likely cause, since the parts before it are shared more widely.
+ * The last part, which only the request itself has, is suspected beside the shared ones: it is all that a request has
+ * in common with its repeats and with the return of its caller.
  *
  * A wrong suspicion keeps sound requests away, so a quarantined part is tried again with a single request: after a
  * while, or once refusing has cost callers as much as one more crash would. Parts that were answered before are tried
@@ -40,10 +42,21 @@
     public var records: Map<PartKey, PartRecord> = emptyMap()
         private set
 
-    /** Decides about a request with [parts]. Uses up a granted trial if only that part is quarantined. */
-    public fun decide(service: ServiceId, parts: List<PromptPartId>, wallMillis: Long): QuarantineDecision {
+    private fun keysOf(service: ServiceId, parts: List<PromptPartId>, own: PromptPartId?): List<PartKey> =
+        parts.map { PartKey(service, it) } + listOfNotNull(own?.let { PartKey(service, it, own = true) })
+
+    /**
+     * Decides about a request with the shared [parts] and its [own] one. Uses up a granted trial if only that part is
+     * quarantined.
+     */
+    public fun decide(
+        service: ServiceId,
+        parts: List<PromptPartId>,
+        wallMillis: Long,
+        own: PromptPartId? = null,
+    ): QuarantineDecision {
         if (records.isEmpty()) return QuarantineDecision.Admitted
-        val quarantined = parts.map { PartKey(service, it) }.filter { isQuarantined(it, wallMillis) }
+        val quarantined = keysOf(service, parts, own).filter { isQuarantined(it, wallMillis) }
         val key = quarantined.firstOrNull() ?: return QuarantineDecision.Admitted
         if (quarantined.size == 1 && grants.remove(key)) return QuarantineDecision.Admitted
         quarantined.forEach { refusals.merge(it, 1, Int::plus) }
@@ -51,26 +64,31 @@
         return QuarantineDecision.Refused(key.part, untilTrial.coerceAtLeast(MIN_RETRY_DELAY))
     }
 
-    /** True if a request with [parts] must not be at a replica, and is no trial. */
-    public fun isQuarantined(service: ServiceId, parts: List<PromptPartId>, wallMillis: Long): Boolean =
-        records.isNotEmpty() && parts.any { isQuarantined(PartKey(service, it), wallMillis) }
+    /** True if a request with these parts must not be at a replica, and is no trial. */
+    public fun isQuarantined(
+        service: ServiceId,
+        parts: List<PromptPartId>,
+        wallMillis: Long,
+        own: PromptPartId? = null,
+    ): Boolean = records.isNotEmpty() && keysOf(service, parts, own).any { isQuarantined(it, wallMillis) }
 
     private fun isQuarantined(key: PartKey, wallMillis: Long): Boolean =
         records[key]?.let { it.quarantined && wallMillis < it.expiresMillis } ?: false
 
     /**
-     * True if a request with [parts] may be sent again after its replica crashed: no part of it is suspected, or all
-     * of them have been answered before.
+     * True if a request may be sent again after its replica crashed: its own part is not quarantined, and no shared one
+     * is suspected, or all of them have been answered before.
      */
-    public fun mayRepeat(service: ServiceId, parts: List<PromptPartId>): Boolean = parts.all {
-        val record = records[PartKey(service, it)]
-        record == null || !record.suspected || (record.vouched && !record.quarantined)
-    }
+    public fun mayRepeat(service: ServiceId, parts: List<PromptPartId>, own: PromptPartId? = null): Boolean =
+        keysOf(service, parts, own).all {
+            val record = records[it]
+            record == null || !record.suspected || ((record.vouched || it.own) && !record.quarantined)
+        }
 
-    /** Records the first event of an answer to a request with [parts]. Returns true if the evidence has changed. */
-    public fun answered(service: ServiceId, parts: List<PromptPartId>): Boolean {
-        val keys = parts.map { PartKey(service, it) }
-        keys.forEach { answered[it] = Unit }
+    /** Records the first event of an answer to a request. Returns true if the evidence has changed. */
+    public fun answered(service: ServiceId, parts: List<PromptPartId>, own: PromptPartId? = null): Boolean {
+        val keys = keysOf(service, parts, own)
+        keys.forEach { if (!it.own) answered[it] = Unit }
         if (records.isEmpty()) return false
         return update(
             keys.mapNotNull { key ->
@@ -80,7 +98,7 @@
     }
 
     /**
-     * Records that [crash] ended a request with [parts] before its first event. [responseStarted] is true if the head
+     * Records that [crash] ended a request before its first event. [responseStarted] is true if the head
      * of the response had arrived. Returns true if the evidence has changed.
      */
     public fun crashed(
@@ -89,15 +107,16 @@
         parts: List<PromptPartId>,
         responseStarted: Boolean,
         wallMillis: Long,
+        own: PromptPartId? = null,
     ): Boolean {
-        val keys = parts.map { PartKey(service, it) }
+        val keys = keysOf(service, parts, own)
         val blamed = keys.filter { isQuarantined(it, wallMillis) }.ifEmpty { keys }
         val sign = if (responseStarted) CrashSign.STARTED else CrashSign.NOT_STARTED
-        val likely = blamed.lastOrNull { it !in answered && records[it]?.vouched != true }
+        val likely = blamed.lastOrNull { !it.own && it !in answered && records[it]?.vouched != true }
         return update(
             blamed.associateWith { key ->
                 val before = records[key] ?: PartRecord(vouched = key in answered)
-                val weight = if (likely == null || key == likely) sign else CrashSign.COMPANION
+                val weight = if (key.own || likely == null || key == likely) sign else CrashSign.COMPANION
                 val after = before.merge(PartRecord(crashes = mapOf(crash to weight)))
                 if (after == before) before else after.rescheduled(wallMillis)
             },
--- a/core/src/test/kotlin/org/jujubelead/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/org/jujubelead/core/quarantine/PromptQuarantineTest.kt
@@ -69,6 +69,45 @@
         expectThat(quarantine.admits("system")).isTrue()
     }
 
+    private fun PromptQuarantine.crashOwn(n: Int, names: String, own: String, started: Boolean = true) =
+        crashed(service, incarnation(n), parts(names), started, wallMillis = 0, own = PromptPartId(own))
+
+    private fun PromptQuarantine.admitsOwn(names: String, own: String) =
+        decide(service, parts(names), wallMillis = 0, own = PromptPartId(own)) == QuarantineDecision.Admitted
+
+    /** Guards against a request that crashes a replica each time it is sent, as its parts are shared with sound ones. */
+    @Test
+    fun `the own part of a request is quarantined after one crash of a started response`() {
+        quarantine.answered(service, parts("system"))
+        quarantine.crashOwn(1, "system", own = "dead")
+        expectThat(quarantine.admitsOwn("system", own = "dead")).isFalse()
+        expectThat(quarantine.mayRepeat(service, parts("system"), PromptPartId("dead"))).isFalse()
+        quarantine.answered(service, parts("system"))
+        expectThat(quarantine.admitsOwn("system", own = "dead")).isFalse()
+        expectThat(quarantine.admitsOwn("system", own = "sound")).isTrue()
+        expectThat(quarantine.admits("dead")).isTrue()
+        quarantine.answered(service, parts("system"), PromptPartId("dead"))
+        expectThat(quarantine.admitsOwn("system", own = "dead")).isTrue()
+    }
+
+    /** Guards against callers who are sent away because their requests waited at a replica that another one crashed. */
+    @Test
+    fun `a request that had only waited at the replica may be repeated`() {
+        quarantine.answered(service, parts("system"))
+        quarantine.crashOwn(1, "system", own = "waiting", started = false)
+        expectThat(quarantine.mayRepeat(service, parts("system"), PromptPartId("waiting"))).isTrue()
+        expectThat(quarantine.admitsOwn("system", own = "waiting")).isTrue()
+    }
+
+    /** Guards against a deadly shared part that is forgotten because each prompt with it has another own part. */
+    @Test
+    fun `own parts do not displace shared ones`() {
+        quarantine.answered(service, parts("system"))
+        quarantine.crash(1, "system dead")
+        repeat(200) { quarantine.crashOwn(2 + it, "system", own = "own$it") }
+        expectThat(quarantine.admits("system dead")).isFalse()
+    }
+
     /** Guards against a part that worked until the replicas were changed and crashes them since. */
     @Test
     fun `a part that was answered before is quarantined after several crashes without an answer`() {
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/Exchange.kt
@@ -106,7 +106,7 @@
         deadline = request.arrivedAt + timeout
         service = route.serviceFor(request.id.hashCode())
         dataPlane.retryBudget(service).requestArrived(request.arrivedAt)
-        val promptGuard = dataPlane.prompts.guard(service, request.sharedParts)
+        val promptGuard = dataPlane.prompts.guard(service, request.sharedParts, request.ownPart)
         guard = promptGuard
         when (val decision = promptGuard.admit()) {
             is QuarantineDecision.Refused -> return refuse(decision.retryAfter, "quarantined-part")
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/InboundRequest.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/InboundRequest.kt
@@ -12,6 +12,7 @@
 import org.jujubelead.core.ids.RequestId
 import org.jujubelead.core.time.Timestamp
 import org.jujubelead.platform.wire.Headers
+import org.jujubelead.platform.wire.decodeOwnPromptPart
 import org.jujubelead.platform.wire.decodeSharedPromptParts
 
 /** @property body body of the request; [release] must be called once. */
@@ -33,6 +34,9 @@
     /** Parts of the prompt that other requests can have as well. */
     val sharedParts: List<PromptPartId> = decodeSharedPromptParts(headers.get(Headers.PROMPT_PARTS))
 
+    /** Part of the prompt that only this request, or its session, has; the same when its caller sends it again. */
+    val ownPart: PromptPartId? = decodeOwnPromptPart(headers.get(Headers.PROMPT_PARTS))
+
     val apiKey: String? = headers.get(HttpHeaderNames.AUTHORIZATION)?.trim()?.let { text ->
         val scheme = text.substringBefore(' ')
         if (scheme.equals(Headers.AUTH_SCHEME, ignoreCase = true)) text.substringAfter(' ', "").trim() else null
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/caller/RequestLog.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/caller/RequestLog.kt
@@ -46,6 +46,7 @@
         "events" to current?.eventCount,
         "silentMillis" to current?.silence?.inWholeMilliseconds,
         "parts" to sharedParts,
+        "ownPart" to request.ownPart,
     )
 
     /** @param attempt attempt that was answered; null if another one's error response is passed on. */
@@ -61,6 +62,7 @@
         "unframed" to attempt?.unframed?.takeIf { it },
         "millis" to sinceArrival,
         "parts" to sharedParts,
+        "ownPart" to request.ownPart,
     )
 
     fun abandoned(attempts: Int, lastEvent: Long?) = dataPlane.log.log(
@@ -87,6 +89,7 @@
             "responseStarted" to a.responseStarted,
             "events" to a.eventCount,
             "parts" to sharedParts,
+            "ownPart" to request.ownPart,
         )
 
     fun resumed(lastEvent: Long?) =
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceCodec.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/EvidenceCodec.kt
@@ -28,6 +28,7 @@
 private data class PartEntry(
     val service: String,
     val part: String,
+    val own: Boolean = false,
     val crashes: List<CrashEntry>,
     val vouched: Boolean = false,
     val trials: Int = 0,
@@ -40,6 +41,7 @@
         PartEntry(
             service = key.service.value,
             part = key.part.value,
+            own = key.own,
             crashes = record.crashes.map { (crash, sign) ->
                 CrashEntry(crash.replica.value, crash.startedAtMillis, sign, crash in record.cleared)
             },
@@ -58,7 +60,7 @@
 
 private fun PartEntry.toRecord(): Pair<PartKey, PartRecord> {
     val cleared = crashes.filter { it.cleared }.mapTo(HashSet()) { it.incarnation() }
-    return PartKey(ServiceId(service), PromptPartId(part)) to PartRecord(
+    return PartKey(ServiceId(service), PromptPartId(part), own) to PartRecord(
         crashes = crashes.associate { it.incarnation() to it.sign },
         cleared = cleared,
         vouched = vouched,
--- a/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/QuarantineGate.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/quarantine/QuarantineGate.kt
@@ -34,8 +34,9 @@
 
     private val wallMillis: Long get() = ProcessClock.read().wallMillis
 
-    /** Protection of replicas from one request of [service] whose prompt shares [parts] with others. */
-    fun guard(service: ServiceId, parts: List<PromptPartId>): PromptGuard = Guard(service, parts)
+    /** Protection of replicas from one request of [service] whose prompt shares [parts] with others, but not [own]. */
+    fun guard(service: ServiceId, parts: List<PromptPartId>, own: PromptPartId?): PromptGuard =
+        Guard(service, parts, own)
 
     /** Adds the evidence of other instances or of the store. */
     fun merge(records: Map<PartKey, PartRecord>) {
@@ -69,6 +70,7 @@
             LogEvent.PART_SUSPECTED,
             "service" to key.service,
             "part" to key.part,
+            "own" to key.own.takeIf { it },
             "quarantined" to record.quarantined,
             "crashes" to record.crashes.keys.joinToString(" ") { it.replica.value },
             "cleared" to record.cleared.size,
@@ -77,20 +79,24 @@
         )
     }
 
-    private inner class Guard(private val service: ServiceId, private val parts: List<PromptPartId>) : PromptGuard {
+    private inner class Guard(
+        private val service: ServiceId,
+        private val parts: List<PromptPartId>,
+        private val own: PromptPartId?,
+    ) : PromptGuard {
         private var trial = false
 
-        override val mustStop: Boolean get() = !trial && quarantine.isQuarantined(service, parts, wallMillis)
+        override val mustStop: Boolean get() = !trial && quarantine.isQuarantined(service, parts, wallMillis, own)
 
         override fun admit(): QuarantineDecision {
             val now = wallMillis
-            val decision = quarantine.decide(service, parts, now)
-            trial = decision == QuarantineDecision.Admitted && quarantine.isQuarantined(service, parts, now)
+            val decision = quarantine.decide(service, parts, now, own)
+            trial = decision == QuarantineDecision.Admitted && quarantine.isQuarantined(service, parts, now, own)
             return decision
         }
 
         override fun recordAnswered() {
-            if (parts.isNotEmpty() && quarantine.answered(service, parts)) changed(observed = true)
+            if (own != null && quarantine.answered(service, parts, own)) changed(observed = true)
         }
 
         override fun onConnectionLost(
@@ -99,12 +105,12 @@
             responseStarted: Boolean,
             done: (mayRepeat: Boolean) -> Unit,
         ) {
-            if (parts.isEmpty()) return done(true)
+            if (own == null) return done(true)
             crashCheck.check(replica, pool) { crashed ->
                 if (!crashed) return@check done(true)
-                val new = quarantine.crashed(service, replica.incarnation, parts, responseStarted, wallMillis)
+                val new = quarantine.crashed(service, replica.incarnation, parts, responseStarted, wallMillis, own)
                 if (new) changed(observed = true)
-                done(quarantine.mayRepeat(service, parts))
+                done(quarantine.mayRepeat(service, parts, own))
             }
         }
     }
--- a/gateway/src/test/kotlin/org/jujubelead/gateway/caller/PromptPartCrashTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/caller/PromptPartCrashTest.kt
@@ -69,6 +69,24 @@
         replicas.forEach { it.close() }
     }
 
+    /** Guards against a request that crashes one replica after another, each time that its caller comes back. */
+    @Test
+    fun `a request that crashes its replica reaches no other one, and sound ones with its shared parts are served`() {
+        val replicas = List(4) { engine() }
+        GatewayFixture(*replicas.toTypedArray()).use { gateway ->
+            fun status(id: String, parts: String) =
+                gateway.connect().request("/stream/x", id = id, extra = parts(parts)).status
+
+            expectThat(status("s0", "system:40,shop:5,own0:9")).isEqualTo(200)
+            val deadly = List(5) { status("d$it", "system:40,shop:5,dead:9") }
+            val reached = replicas.flatMap { it.requests }.count { it.id.startsWith("d") }
+            expectThat(reached).isEqualTo(1)
+            expectThat(deadly).isEqualTo(listOf(502) + List(4) { 503 })
+            expectThat(List(4) { status("s1$it", "system:40,shop:5,own$it:9") }).isEqualTo(List(4) { 200 })
+        }
+        replicas.forEach { it.close() }
+    }
+
     private companion object {
         /** A reset discards a head that the gateway has not read yet. */
         const val HEAD_DELIVERY_MILLIS = 100L
