Pass the bytes of a request's target on as they came

Cause: targets are decoded as Latin-1 and were encoded as UTF-8.

Change: an encoder that writes such targets as Latin-1.

Tests: RequestTargetTest failed before, passes with the change.

--- a/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpConnection.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/net/HttpConnection.kt
@@ -17,7 +17,6 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
@@ -115,7 +114,7 @@
         private set
 
     /** Handlers of the channel in the order in which they receive bytes. */
-    internal fun handlers(): List<ChannelHandler> = listOf(IdleInput(), decoder, HttpRequestEncoder(), this)
+    internal fun handlers(): List<ChannelHandler> = listOf(IdleInput(), decoder, RequestEncoder(), this)
 
     /**
      * Returns whether a request can be sent now. Closes the connection otherwise: its peer has closed it, or has sent
