--- a/gateway/src/test/kotlin/org/jujubelead/gateway/store/RangeReaderTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/store/RangeReaderTest.kt
@@ -12,6 +12,7 @@
 import org.jujubelead.gateway.telemetry.EventLog
 import org.jujubelead.platform.standins.StoreContents
 import org.jujubelead.platform.standins.StoreWriter
+import org.jujubelead.platform.wire.StoreRequests
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -110,7 +111,10 @@
     fun `a page that names itself as the next one ends the read`() {
         val page = contents.let {
             writer.replica("i1", "s", "10.0.0.1:80", "z", slots = 1)
-            it.call("/kv-range?pathPrefix=servers/", "").body.replace("\"hasMore\":false", "\"hasMore\":true")
+            it.call(
+                StoreRequests.pagePath(StoreRequests.REPLICAS, after = null),
+                "",
+            ).body.replace("\"hasMore\":false", "\"hasMore\":true")
         }
         fault = { TextResponse(200, page) }
         start()
