--- a/gateway/src/test/kotlin/org/jujubelead/gateway/store/ForeignEntriesTest.kt
+++ b/gateway/src/test/kotlin/org/jujubelead/gateway/store/ForeignEntriesTest.kt
@@ -97,7 +97,7 @@
 
     private companion object {
         /** One for each character that can be in a key and has a meaning in a target, a message or a line. */
-        val ODD_NAMES: List<String> = " &+#%?=;,\"\\'<>{}[]|^`$\r\n\t\u0000\u007Fé€\uD83D\uDE00".codePoints()
+        val ODD_NAMES: List<String> = " &+#%?=;,:~/@!*()\"\\'<>{}[]|^`$\r\n\t\u0000\u007Fé€\uD83D\uDE00".codePoints()
             .toArray().map { "m${String(Character.toChars(it))}copy" } +
             listOf("m%20", "m%zz", "m&after=servers/zzz", "m copy (1).json", "", " ")
     }
