--- a/bench/src/test/kotlin/org/jujubelead/bench/soak/SoakChecksTest.kt
+++ b/bench/src/test/kotlin/org/jujubelead/bench/soak/SoakChecksTest.kt
@@ -5,9 +5,11 @@
 import org.jujubelead.platform.standins.GivenAnswer
 import org.jujubelead.platform.standins.SimulatedReplica
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import java.io.File
 
 /** Guards against soak checks that miss violations: each gets a history that violates only its own guarantee. */
 class SoakChecksTest {
@@ -73,6 +75,25 @@
         expectThat(promises(suspended)).isEmpty()
     }
 
+    private fun line(time: Long, event: String, more: String = "") = """{"time":$time,"event":"$event"$more}"""
+
+    private fun delayLine(time: Long) = line(time, "LOOP_DELAYED", ""","loop":"data","millis":700""")
+
+    /** Guards against a gateway that is taken for busy because it was suspended and then killed. */
+    @Test
+    fun `a delay counts unless its process ended right after it`(@TempDir directory: File) {
+        val log = listOf(
+            line(1_000, "STARTED"),
+            delayLine(9_000),
+            line(9_250, "REQUEST_ANSWERED"),
+            delayLine(12_000),
+            line(12_100, "REQUEST_ANSWERED"),
+            line(15_000, "STARTED"),
+        )
+        File(directory, "gateway-0.log").writeText(log.joinToString("\n"))
+        expectThat(readLoopDelays(directory).map { it.atMillis }).isEqualTo(listOf(9_000L))
+    }
+
     @Test
     fun `a history without violations passes all checks`() {
         val events = (1..SimulatedReplica.EVENTS).joinToString("") { "id: $it\ndata: event $it of s\n\n" }
