--- a/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgent.kt
+++ b/gateway/src/main/kotlin/org/jujubelead/gateway/rank/RankAgent.kt
@@ -167,10 +167,8 @@
         readRank { reading ->
             if (to !== coordinator) return@readRank
             val now = runtime.clock.now()
-            // Statuses in quick succession leave out the counts.
-            if (now <
-                choicesDueAt
-            ) {
+            if (now < choicesDueAt) {
+                // Statuses in quick succession leave out the counts.
                 return@readRank sendStatus(to, following, reading, ChoiceSampler.Sample(0, emptyList()))
             }
             choicesDueAt = now + reply.interval.milliseconds * CHOICES_INTERVAL_FRACTION
