--- a/review/lib-3/Deployment.java
+++ b/review/lib-3/Deployment.java
@@ -13,7 +13,12 @@
 final class Deployment implements AutoCloseable {
     static final String HOST = "docs.example";
     static final String KEY = "n2ctnfzs989anu6wsjnb";
+
+    /** Key of the other tenant, before and after it is replaced. */
+    static final String OTHER_KEY = "a7fqk2m9xw41ztpe5rud";
+    static final String NEXT_OTHER_KEY = "g3vhy8c6jd0onbsl1qix";
     static final int SLOTS = 6;
+    static final int FIRST_VERSION = 7;
     private static final long HEARTBEAT_MILLIS = 1200;
     final Store store = new Store();
     final List<Replica> replicas = new ArrayList<>();
@@ -33,7 +38,7 @@
         for (int i = 0; i < replicaCount; i++) {
             replicas.add(new Replica("i-" + (char) ('a' + i) + "1", SLOTS, answerBytes, workMillis));
         }
-        store.put("op/config", configuration(timeoutMillis));
+        store.put("op/config", configuration(FIRST_VERSION, OTHER_KEY, timeoutMillis));
         beats.scheduleAtFixedRate(this::beat, 0, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -41,12 +46,17 @@
         for (Replica r : replicas) store.put("servers/" + r.id, r.entry("docs", "zone-a", SLOTS));
     }
 
-    private static String configuration(long timeoutMillis) {
-        return "{\"version\":7,\"routes\":["
+    /** The manifest in which the other tenant has the key [otherKey]. */
+    static String configuration(int version, String otherKey, long timeoutMillis) {
+        return "{\"version\":" + version + ",\"routes\":["
             + route("safe", timeoutMillis, 2) + "," + route("unsafe", timeoutMillis, 1)
             + "],\"services\":[{\"name\":\"docs\",\"healthPath\":\"/health\",\"maxConns\":110,\"protocol\":\"h1\","
             + "\"tls\":false}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"
-            + "\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"hule930\",\"apiKeys\":[\"" + KEY + "\"]}]}";
+            + "\"idleTimeoutMs\":15000},\"tenants\":[" + tenant("hule930", KEY) + "," + tenant("lohu221", otherKey) + "]}";
+    }
+
+    private static String tenant(String name, String key) {
+        return "{\"name\":\"" + name + "\",\"apiKeys\":[\"" + key + "\"]}";
     }
 
     private static String route(String kind, long timeoutMillis, int attempts) {
--- a/review/lib-3/Gateway.java
+++ b/review/lib-3/Gateway.java
@@ -80,8 +80,9 @@
         return process != null && process.isAlive();
     }
 
-    Process process() {
-        return process;
+    /** Waits until the process has ended. */
+    boolean awaitEnd(long millis) throws InterruptedException {
+        return process.waitFor(millis, TimeUnit.MILLISECONDS);
     }
 
     /** Sends SIGTERM. */
--- a/review/lib-3/Store.java
+++ b/review/lib-3/Store.java
@@ -28,8 +28,13 @@
     private static final Pattern OBJECT = Pattern.compile("\\{([^{}]*)}");
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final Map<Long, Lease> leases = new HashMap<>();
+    private final TreeMap<String, Item> copiedItems = new TreeMap<>();
+    private final Map<Long, Lease> copiedLeases = new HashMap<>();
     private final HttpServer server;
     private long revision = 10;
+    private long copiedRevision;
+    private long era = 1;
+    private boolean away;
 
     Store() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 256);
@@ -52,8 +57,31 @@
         return revision;
     }
 
-    synchronized void remove(String key) {
-        if (items.remove(key) != null) revision++;
+    /** Makes the copy from which the store comes back. */
+    synchronized void copy() {
+        expire();
+        copiedItems.clear();
+        copiedItems.putAll(items);
+        copiedLeases.clear();
+        copiedLeases.putAll(leases);
+        copiedRevision = revision;
+    }
+
+    /** From now on, calls get no answer and have no effect. */
+    synchronized void leave() {
+        away = true;
+    }
+
+    /** Comes back from the copy, in the next era. The leases of the copy begin anew. */
+    synchronized void returnFromCopy() {
+        items.clear();
+        items.putAll(copiedItems);
+        leases.clear();
+        long now = System.currentTimeMillis();
+        copiedLeases.forEach((id, l) -> leases.put(id, new Lease(l.ttlMillis, now + l.ttlMillis)));
+        revision = copiedRevision;
+        era++;
+        away = false;
     }
 
     @Override
@@ -69,13 +97,24 @@
     private void handle(HttpExchange call) throws IOException {
         String body = new String(call.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
         Object[] answer;
+        long answeredIn;
         try {
-            answer = serve(call.getRequestURI().getPath(), query(call.getRequestURI().getRawQuery()), body);
+            synchronized (this) {
+                if (away) {
+                    call.close();
+                    return;
+                }
+                answeredIn = era;
+                answer = serve(call.getRequestURI().getPath(), query(call.getRequestURI().getRawQuery()), body);
+            }
         } catch (RuntimeException e) {
-            answer = new Object[] {400, "{}"};
+            call.sendResponseHeaders(400, -1);
+            call.close();
+            return;
         }
         byte[] bytes = ((String) answer[1]).getBytes(StandardCharsets.UTF_8);
         call.getResponseHeaders().set("Content-Type", "application/json");
+        call.getResponseHeaders().set("Store-Era", Long.toString(answeredIn));
         call.sendResponseHeaders((Integer) answer[0], bytes.length);
         try (var out = call.getResponseBody()) {
             out.write(bytes);
@@ -92,7 +131,7 @@
         return fields;
     }
 
-    private synchronized Object[] serve(String path, Map<String, String> query, String body) {
+    private Object[] serve(String path, Map<String, String> query, String body) {
         expire();
         if (path.equals("/kv-key")) {
             Item item = items.get(query.getOrDefault("key", ""));
