--- a/review/lib-3/Replica.java
+++ b/review/lib-3/Replica.java
@@ -16,9 +16,6 @@
 /** A sound replica of a plain service: runs each request once, and answers with a seal and a whole body. */
 final class Replica implements AutoCloseable {
     private static final int QUEUED = 6;
-
-    /** Size of the answers to requests for a path that ends in "/small". */
-    private static final int SMALL_ANSWER_BYTES = 800;
     final String id;
     private final ServerSocket server = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
     private final Semaphore slots;
@@ -105,7 +102,6 @@
             head(out, "503 Service Unavailable", attempt, "Not-Executed: 1\r\n", 0);
             return;
         }
-        int length = line.contains("/small ") ? SMALL_ANSWER_BYTES : answerBytes;
         slots.acquire();
         waiting.decrementAndGet();
         try {
@@ -114,9 +110,9 @@
         } finally {
             slots.release();
         }
-        head(out, "200 OK", attempt, "Replica-Seal: " + id + "." + seals.incrementAndGet() + "\r\n", length);
+        head(out, "200 OK", attempt, "Replica-Seal: " + id + "." + seals.incrementAndGet() + "\r\n", answerBytes);
         byte[] unit = (attempt + "\n").getBytes(StandardCharsets.US_ASCII);
-        byte[] body = new byte[length];
+        byte[] body = new byte[answerBytes];
         for (int i = 0; i < body.length; i++) body[i] = unit[i % unit.length];
         out.write(body);
         out.flush();
