--- a/review/lib-3/Store.java
+++ b/review/lib-3/Store.java
@@ -25,6 +25,9 @@
 
     private record Lease(long ttlMillis, long expiresMillis) {}
 
+    /** A page has no more items than this, and ends with the item that exceeds this size. */
+    private static final int PAGE_ITEMS = 500;
+    private static final int PAGE_BYTES = 1_000_000;
     private static final Pattern OBJECT = Pattern.compile("\\{([^{}]*)}");
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final Map<Long, Lease> leases = new HashMap<>();
@@ -170,10 +173,17 @@
     private String range(Map<String, String> query) {
         String prefix = query.getOrDefault("pathPrefix", "");
         List<String> found = new ArrayList<>();
+        int size = 0;
+        boolean more = false;
         for (var e : items.tailMap(query.getOrDefault("after", ""), false).entrySet()) {
-            if (e.getKey().startsWith(prefix)) found.add(json(e.getKey(), e.getValue(), false));
+            if (!e.getKey().startsWith(prefix)) continue;
+            more = found.size() >= PAGE_ITEMS || size >= PAGE_BYTES;
+            if (more) break;
+            String item = json(e.getKey(), e.getValue(), false);
+            found.add(item);
+            size += item.length();
         }
-        return "{\"items\":[" + String.join(",", found) + "],\"hasMore\":false,\"storeRevision\":" + revision + "}";
+        return "{\"items\":[" + String.join(",", found) + "],\"hasMore\":" + more + ",\"storeRevision\":" + revision + "}";
     }
 
     private Object[] transaction(String body) {
