--- a/review/lib-3/Client.java
+++ b/review/lib-3/Client.java
@@ -23,7 +23,7 @@
      * @param waitedMillis time from the last byte of the request to its end; 0 if that was not written.
      */
     record Answer(String attempt, End end, int status, long bytes, long length, boolean sentWhole, long millis,
-                  long waitedMillis, boolean sealed, String detail) {
+                  long waitedMillis, String detail) {
         @Override
         public String toString() {
             return attempt + " " + end + " status " + status + " body " + bytes + " of " + length + " after " + millis
@@ -31,36 +31,21 @@
         }
     }
 
-    private static final int PART_BYTES = 16384;
     private final int port;
     private final String host;
     private final String key;
-    private final Link link;
     private Socket socket;
     private InputStream in;
 
-    /**
-     * The client's link.
-     *
-     * @param receiveBuffer bytes of the receive buffer; 0 for that of the system.
-     * @param up bytes a second that the client sends; 0 for any number.
-     * @param down bytes a second that the client reads; 0 for any number.
-     */
-    record Link(int receiveBuffer, long up, long down) {
-        static final Link FAST = new Link(0, 0, 0);
-    }
-
-    Client(int port, String host, String key, Link link) {
+    Client(int port, String host, String key) {
         this.port = port;
         this.host = host;
         this.key = key;
-        this.link = link;
     }
 
     private void connect() throws IOException {
         if (socket != null && !socket.isClosed()) return;
         socket = new Socket();
-        if (link.receiveBuffer > 0) socket.setReceiveBufferSize(link.receiveBuffer);
         socket.setTcpNoDelay(true);
         socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1000);
         in = new BufferedInputStream(socket.getInputStream(), 8192);
@@ -73,7 +58,6 @@
         int status = 0;
         long length = -1;
         long got = 0;
-        boolean sealed = false;
         try {
             connect();
             OutputStream out = socket.getOutputStream();
@@ -81,49 +65,31 @@
                 + "\r\nDeadline-Ms: " + budgetMillis + "\r\nAuthorization: Token " + key + "\r\n"
                 + (bodyBytes > 0 ? "Content-Length: " + bodyBytes + "\r\n" : "") + "\r\n")
                 .getBytes(StandardCharsets.US_ASCII));
-            byte[] part = new byte[PART_BYTES];
-            long bodyStart = System.nanoTime();
-            for (int left = bodyBytes; left > 0; left -= part.length) {
-                out.write(part, 0, Math.min(left, part.length));
-                pace(bodyBytes - left + part.length, link.up, bodyStart);
-            }
+            out.write(new byte[bodyBytes]);
             out.flush();
             sentAt = System.nanoTime();
             timeout(start, budgetMillis);
             String line = Http.line(in);
-            if (line == null) return ended(End.CLOSED, attempt, start, sentAt, 0, 0, -1, false, "end of channel");
+            if (line == null) return ended(End.CLOSED, attempt, start, sentAt, 0, 0, -1, "end of channel");
             status = Integer.parseInt(line.split(" ")[1]);
             Map<String, String> headers = Http.headers(in);
             length = Long.parseLong(headers.getOrDefault("content-length", "-1"));
-            sealed = headers.containsKey("replica-seal");
-            byte[] buffer = new byte[PART_BYTES];
-            long answerStart = System.nanoTime();
+            byte[] buffer = new byte[8192];
             while (got < length) {
                 timeout(start, budgetMillis);
                 int n = in.read(buffer, 0, (int) Math.min(buffer.length, length - got));
-                if (n < 0) return ended(End.CLOSED, attempt, start, sentAt, status, got, length, sealed, "end of channel");
+                if (n < 0) return ended(End.CLOSED, attempt, start, sentAt, status, got, length, "end of channel");
                 got += n;
-                pace(got, link.down, answerStart);
             }
             boolean last = "close".equalsIgnoreCase(headers.get("connection"));
-            return answer(End.ANSWERED, attempt, start, sentAt, status, got, length, sealed, "", last);
+            return answer(End.ANSWERED, attempt, start, sentAt, status, got, length, "", last);
         } catch (SocketTimeoutException e) {
-            return ended(End.OUT_OF_TIME, attempt, start, sentAt, status, got, length, sealed, "");
+            return ended(End.OUT_OF_TIME, attempt, start, sentAt, status, got, length, "");
         } catch (IOException e) {
-            return ended(End.CLOSED, attempt, start, sentAt, status, got, length, sealed, String.valueOf(e.getMessage()));
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return ended(End.CLOSED, attempt, start, sentAt, status, got, length, sealed, "interrupted");
+            return ended(End.CLOSED, attempt, start, sentAt, status, got, length, String.valueOf(e.getMessage()));
         }
     }
 
-    /** Waits until [bytes] are due on a link of [bytesPerSecond]. */
-    private static void pace(long bytes, long bytesPerSecond, long start) throws InterruptedException {
-        if (bytesPerSecond == 0) return;
-        long early = bytes * 1000 / bytesPerSecond - millis(start);
-        if (early > 0) Thread.sleep(early);
-    }
-
     private void timeout(long start, long budgetMillis) throws IOException {
         long left = budgetMillis - millis(start);
         if (left <= 0) throw new SocketTimeoutException();
@@ -131,15 +97,15 @@
     }
 
     private Answer ended(End end, String attempt, long start, long sentAt, int status, long got, long length,
-                         boolean sealed, String detail) {
-        return answer(end, attempt, start, sentAt, status, got, length, sealed, detail, true);
+                         String detail) {
+        return answer(end, attempt, start, sentAt, status, got, length, detail, true);
     }
 
     private Answer answer(End end, String attempt, long start, long sentAt, int status, long got, long length,
-                          boolean sealed, String detail, boolean last) {
+                          String detail, boolean last) {
         if (last) close();
         long waited = sentAt == 0 ? 0 : millis(sentAt);
-        return new Answer(attempt, end, status, got, length, sentAt != 0, millis(start), waited, sealed, detail);
+        return new Answer(attempt, end, status, got, length, sentAt != 0, millis(start), waited, detail);
     }
 
     private static long millis(long start) {
--- a/review/lib-3/Deployment.java
+++ b/review/lib-3/Deployment.java
@@ -80,10 +80,6 @@
         return replicas.stream().mapToInt(r -> r.runs.getOrDefault(attempt, 0)).sum();
     }
 
-    boolean answeredWhole(String attempt) {
-        return replicas.stream().anyMatch(r -> r.answered.contains(attempt));
-    }
-
     /** Copies the latest lines of each gateway that tell of trouble into the record. */
     void noteGateways(String... events) throws IOException {
         for (Gateway g : gateways) {
--- a/review/lib-3/ForeignCopies.java
+++ b/review/lib-3/ForeignCopies.java
@@ -70,7 +70,7 @@
 
     private static Thread user(Gateway g, long start) {
         return new Thread(() -> {
-            try (Client c = new Client(g.callers, Deployment.HOST, Deployment.KEY, Client.Link.FAST)) {
+            try (Client c = new Client(g.callers, Deployment.HOST, Deployment.KEY)) {
                 while (System.currentTimeMillis() < start + END_AT) {
                     long at = System.currentTimeMillis() - start;
                     SENT.add(new Sent(at, c.send("GET", "/safe/doc", "c-" + IDS.incrementAndGet(), 0, TIMEOUT_MILLIS)));
--- a/review/lib-3/Replica.java
+++ b/review/lib-3/Replica.java
@@ -29,9 +29,6 @@
     /** How often each request has run. */
     final Map<String, Integer> runs = new ConcurrentHashMap<>();
 
-    /** Requests whose answers were written whole. */
-    final Set<String> answered = ConcurrentHashMap.newKeySet();
-
     Replica(String id, int slots, int answerBytes, long workMillis) throws IOException {
         this.id = id;
         this.slots = new Semaphore(slots, true);
@@ -116,7 +113,6 @@
         for (int i = 0; i < body.length; i++) body[i] = unit[i % unit.length];
         out.write(body);
         out.flush();
-        answered.add(attempt);
     }
 
     private static void head(OutputStream out, String status, String attempt, String more, int length)
--- a/review/lib-3/ReturnedStore.java
+++ b/review/lib-3/ReturnedStore.java
@@ -99,7 +99,7 @@
 
     private static Thread user(Gateway g, String name, String key) {
         return new Thread(() -> {
-            try (Client c = new Client(g.callers, Deployment.HOST, key, Client.Link.FAST)) {
+            try (Client c = new Client(g.callers, Deployment.HOST, key)) {
                 while (System.currentTimeMillis() < end) {
                     long at = System.currentTimeMillis();
                     SENT.add(new Sent(at, name, key, c.send("POST", "/unsafe/doc", "r-" + IDS.incrementAndGet(), 600, TIMEOUT_MILLIS)));
